--- /dev/null
+++ b/crates/policy/src/api.rs
@@ -0,0 +1,392 @@
+//! The interface of the decision module: settings, events, actions and ids. No decision lives here.
+
+/// A point in time, or a span, in nanoseconds. The clock starts anywhere and only moves forward.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Time(pub u64);
+
+impl Time {
+    /// A span of whole milliseconds.
+    pub const fn ms(ms: u64) -> Time {
+        Time(ms * 1_000_000)
+    }
+    /// The later time by a span.
+    pub const fn plus(self, span: Time) -> Time {
+        Time(self.0.saturating_add(span.0))
+    }
+    /// The span since `earlier`, zero if that is not earlier.
+    pub const fn since(self, earlier: Time) -> Time {
+        Time(self.0.saturating_sub(earlier.0))
+    }
+    /// The span scaled by a factor.
+    pub fn times(self, factor: f64) -> Time {
+        Time((self.0 as f64 * factor) as u64)
+    }
+    /// The span in seconds.
+    pub fn secs(self) -> f64 {
+        self.0 as f64 * 1e-9
+    }
+}
+
+macro_rules! id {
+    ($(#[$doc:meta] $name:ident($inner:ty);)*) => {$(
+        #[$doc]
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub $inner);
+    )*};
+}
+id! {
+    /// A member: one database host.
+    MemberId(u32);
+    /// A request, unique at its router.
+    RequestId(u64);
+    /// A group: one primary and its replicas.
+    GroupId(u32);
+    /// A class of requests, an index into [`Settings::classes`].
+    ClassId(u16);
+    /// A tenant, an index into [`Settings::tenants`].
+    TenantId(u16);
+    /// A session.
+    SessionKey(u64);
+    /// A zone.
+    ZoneId(u16);
+    /// An attempt's number within its request, in order of sending.
+    Attempt(u16);
+    /// A router of the tier.
+    RouterId(u16);
+}
+
+/// What may be done with a request that may already have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Repeating does no harm.
+    Safe,
+    /// Repeats are dropped by key, within a window and a scope.
+    Keyed,
+    /// Must never run twice.
+    Unsafe,
+}
+
+/// Where repeats of a keyed request are dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyScope {
+    /// At every member.
+    All,
+    /// At the members of one zone.
+    Zone,
+    /// At the members of one group.
+    Group,
+}
+
+/// How fresh the data must be that answers a class.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Consistency {
+    /// Any member will do.
+    Any,
+    /// Data no older than this when it is sent.
+    Bounded(Time),
+    /// All that the session has written.
+    Session,
+    /// All that was written before the request came in.
+    Fresh,
+    /// A write: only the primary takes it.
+    Write,
+}
+
+/// A class of requests.
+#[derive(Clone, Debug)]
+pub struct Class {
+    /// Freshness needed.
+    pub consistency: Consistency,
+    /// Effect of a repeat.
+    pub effect: Effect,
+    /// Scope of the key, for keyed classes.
+    pub scope: KeyScope,
+    /// How long repeats are dropped, from the first attempt that may have run.
+    pub window: Time,
+    /// An answer inside this earns the full worth.
+    pub aim: Time,
+    /// The client's whole wait, over all its tries.
+    pub deadline: Time,
+    /// The worth of one request.
+    pub worth: f64,
+    /// The share of the worth earned between aim and deadline.
+    pub late_worth: f64,
+}
+
+/// A tenant.
+#[derive(Clone, Debug)]
+pub struct Tenant {
+    /// Requests a second within its share, over all routers.
+    pub quota_per_s: f64,
+}
+
+/// What a member does with a read that it is too far behind for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WhenBehind {
+    /// It answers from what it holds.
+    Answers,
+    /// It misses at once.
+    Refuses,
+    /// It waits up to this long for the log, then misses.
+    Waits(Time),
+}
+
+/// How the list of members tells the primary.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListRole {
+    /// Kept up, some seconds late.
+    Late,
+    /// As it was at the start only.
+    Start,
+    /// Never.
+    None,
+}
+
+/// How a session read's floor is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Tokens {
+    /// The read says how long ago its session last wrote.
+    Carried,
+    /// The router remembers the writes it has answered.
+    Remembered,
+}
+
+/// What a router is told when it starts.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// This router.
+    pub me: RouterId,
+    /// Routers in the tier.
+    pub routers: u32,
+    /// This router's zone.
+    pub zone: ZoneId,
+    /// The shortest gap between two rounds of events.
+    pub tick: Time,
+    /// Classes of requests.
+    pub classes: Vec<Class>,
+    /// Tenants; may be empty.
+    pub tenants: Vec<Tenant>,
+    /// The part of its worth that a request past its tenant's share keeps.
+    pub over_share_worth: f64,
+    /// The list must be asked for.
+    pub list_on_request: bool,
+    /// How the list tells roles.
+    pub list_role: ListRole,
+    /// Whether weights say anything.
+    pub weights: bool,
+    /// Whether every answer carries a position.
+    pub positions: bool,
+    /// Whether probes return a position.
+    pub probe_positions: bool,
+    /// Whether probes return the role.
+    pub probe_roles: bool,
+    /// How session floors are known.
+    pub tokens: Tokens,
+    /// What lagging members do with reads.
+    pub when_behind: WhenBehind,
+    /// Attempts a request may have.
+    pub max_attempts: u32,
+    /// Two attempts of a request may be out together.
+    pub second_copies: bool,
+    /// Attempts may be cancelled.
+    pub cancel: bool,
+    /// Probes are allowed.
+    pub probes: bool,
+    /// Clients are told when to come back.
+    pub retry_after: bool,
+    /// The longest such time a client follows.
+    pub max_retry_after: Time,
+    /// After a notice to drain or of removal, sends may go on this long.
+    pub drain_grace: Time,
+    /// Only a notice to drain binds, removal alone does not.
+    pub only_draining_binds: bool,
+    /// Capacity share of a member that has just started, at least.
+    pub cold_from: f64,
+    /// It is warm within this.
+    pub warm_within: Time,
+    /// Sent more than this multiple of its capacity...
+    pub fall_multiple: f64,
+    /// ...for this long, a cold member falls over.
+    pub fall: Time,
+    /// Where the list is asked for: an answer older than this counts as told.
+    pub ask_every: Time,
+    /// Points for attempts crossing zones.
+    pub price_cross_zone: f64,
+    /// Points for work wasted.
+    pub price_waste: f64,
+}
+
+/// A member's state as the list has it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listed {
+    /// In service.
+    Ready,
+    /// Finishing its work.
+    Draining,
+    /// Removed.
+    Gone,
+}
+
+/// A line of the list of members.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// The member.
+    pub member: MemberId,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Its group.
+    pub group: GroupId,
+    /// Its state.
+    pub listed: Listed,
+    /// Its weight.
+    pub weight: f64,
+    /// Whether the list takes it for the primary.
+    pub primary: bool,
+    /// When it last started, if lately.
+    pub started: Option<Time>,
+}
+
+/// What kind of list came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListForm {
+    /// Only what changed.
+    Delta,
+    /// All of it.
+    Full,
+    /// All of it, as held last, possibly old.
+    Cached,
+    /// A call for the list failed.
+    Failed,
+}
+
+/// A member's role.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// It takes writes.
+    Primary,
+    /// It follows.
+    Replica,
+}
+
+/// What an answer or a report says of its member.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Standing {
+    /// All commits up to this time are applied.
+    pub position: Option<Time>,
+    /// Its role.
+    pub role: Option<Role>,
+}
+
+/// How an attempt or a probe ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Status {
+    /// Served.
+    Ok,
+    /// Turned away untouched: not primary, or too far behind.
+    Miss,
+    /// The member failed at it.
+    Error,
+    /// Turned away unseen.
+    Full,
+    /// No answer in time.
+    Timeout,
+    /// No connection.
+    ConnectFailed,
+    /// The connection broke.
+    Reset,
+    /// Called off.
+    Cancelled,
+    /// Never sent.
+    Moot,
+}
+
+impl Status {
+    /// Whether it proves that nothing ran.
+    pub fn proves_unrun(self) -> bool {
+        matches!(self, Status::Miss | Status::Full | Status::ConnectFailed | Status::Moot)
+    }
+}
+
+/// A request as it comes in.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Its id.
+    pub id: RequestId,
+    /// Its class.
+    pub class: ClassId,
+    /// Its tenant.
+    pub tenant: TenantId,
+    /// Its session, if any.
+    pub session: Option<SessionKey>,
+    /// The time at which its client gives up.
+    pub give_up: Time,
+    /// Its group.
+    pub group: GroupId,
+    /// How long ago its session's last write was committed.
+    pub token: Option<Time>,
+}
+
+/// How one attempt ended.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// Its request.
+    pub request: RequestId,
+    /// Its number.
+    pub attempt: Attempt,
+    /// Where it went.
+    pub member: MemberId,
+    /// How it ended.
+    pub status: Status,
+    /// How long it took.
+    pub took: Time,
+    /// The request has ended.
+    pub ended: bool,
+    /// What the answer says of the member.
+    pub standing: Standing,
+    /// What a report inside the answer says, possibly out of date.
+    pub report: Standing,
+}
+
+/// What happens to a router.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// The list of members, or a change to it.
+    List(ListForm, Vec<Entry>),
+    /// A request.
+    Request(Request),
+    /// An attempt's answer has begun to flow: it belongs to the client now.
+    Started(RequestId, Attempt),
+    /// An attempt ended.
+    Outcome(Outcome),
+    /// The client has left.
+    Lapsed(RequestId),
+    /// A timer came due.
+    Timer(u64),
+    /// A probe ended: member, status, how long it took, what the report says.
+    Probed(MemberId, Status, Time, Standing),
+    /// A message from another router.
+    Message(RouterId, Vec<u8>),
+}
+
+/// What a router does.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Begin an attempt; its time-out, or none but the client's own.
+    Send(RequestId, MemberId, Option<Time>),
+    /// Turn the request away: trying again does no harm, after the time given if any.
+    Refuse(RequestId, Option<Time>),
+    /// End the request without a promise.
+    Fail(RequestId),
+    /// Stop waiting for an attempt.
+    Cancel(RequestId, Attempt),
+    /// Ask for [`Event::Timer`] with this token after a span.
+    Timer(Time, u64),
+    /// Probe a member.
+    Probe(MemberId),
+    /// Ask discovery to follow the list.
+    Watch,
+    /// Ask discovery for the whole list once.
+    Fetch,
+    /// A line for the operators.
+    Log(String),
+}
--- /dev/null
+++ b/crates/policy/src/policy.rs
@@ -0,0 +1,839 @@
+//! Every decision of basalthill, with every table and tuned value. The interface (settings, events, actions,
+//! ids) is `api.rs`. `docs/design.md` says what is the design's and what is a departure from it.
+
+use crate::api::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Housekeeping: held requests, overdue attempts, probes.
+const SWEEP: Time = Time::ms(10);
+/// A member that no answer has refreshed for this long is probed.
+const PROBE_EVERY: Time = Time::ms(2000);
+/// How long an ejected member stays out before one probe (or one real read) decides.
+const COOLDOWN: Time = Time::ms(5000);
+/// Behind its group's most advanced member by more than this (or the widest bound), a member is ejected.
+const MARGIN: Time = Time::ms(1000);
+/// Transport failures running that eject a member.
+const FAILURES: u32 = 3;
+/// A started router holds reads for its first probes no longer than this.
+const START_HOLD: Time = Time::ms(250);
+/// In-flight cap: where it starts and its floor; it then follows the times that answers take.
+const CAP_START: f64 = 16.0;
+const CAP_FLOOR: f64 = 2.0;
+/// Answers slower than this share of their aim shrink the member's cap.
+const CAP_LATE: f64 = 0.8;
+/// How fast the mean times of classes and members follow their answers.
+const BASE_GAIN: f64 = 0.02;
+const SLOW_GAIN: f64 = 0.15;
+/// What a member's slowness says fades towards its peers' over this time.
+const SLOW_FADE_S: f64 = 4.0;
+/// Slowness within this factor of the peers is noise.
+const SLOW_NOISE: f64 = 1.3;
+/// An attempt older than this share of its aim gets another chance elsewhere, while the budget lasts.
+const HEDGE_AT: f64 = 0.5;
+const HEDGE_EARN: f64 = 0.1;
+const HEDGE_MAX: f64 = 10.0;
+/// No answer since its oldest attempt for this many times that class's mean: a member is silent.
+const SILENT_TIMES: f64 = 6.0;
+const SILENT_LEAST: Time = Time::ms(250);
+/// How long a silent member rests before one real request tries it.
+const SILENT_REST: Time = Time::ms(1000);
+/// Pause after a round of misses in the search for a primary, and after a full queue.
+const SCOUT_EVERY: Time = Time::ms(40);
+const FULL_REST: Time = Time::ms(100);
+/// What the list says of roles is taken to be this old.
+const LIST_AGE: Time = Time::ms(5000);
+/// A read spills to the primary while the writes there are expected within this share of their aim, the lower
+/// for the classes worth less for their work.
+const SPILL_LEAST: f64 = 0.2;
+const SPILL_SPAN: f64 = 0.3;
+/// Part of the fall multiple that routers together may use at a cold member.
+const COLD_SHARE: f64 = 0.5;
+/// Spacing of the samples that tell how fast a member's position moves.
+const PACE_OVER: Time = Time::ms(300);
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Why {
+    Lag,
+    Transport,
+    Silent,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Breaker {
+    Closed,
+    Open(Why, Time),
+    HalfOpen(Why),
+}
+
+/// What this router knows of a member.
+struct Member {
+    group: GroupId,
+    zone: ZoneId,
+    weight: f64,
+    draining: Option<Time>,
+    started: Option<Time>,
+    position: Option<(Time, Time)>,
+    anchor: (Time, Time),
+    pace: f64,
+    role: Option<(Role, Time)>,
+    breaker: Breaker,
+    failures: u32,
+    doubt: bool,
+    in_flight: u32,
+    cap: f64,
+    slow: (f64, Time),
+    answered: Time,
+    rest: Time,
+    probe: Option<Time>,
+    refreshed: Time,
+    sent: VecDeque<(Time, f64)>,
+    rate: (f64, Time),
+    scouted: Time,
+}
+
+struct Try {
+    member: MemberId,
+    sent: Time,
+    status: Option<Status>,
+    cancelled: bool,
+}
+
+struct Job {
+    req: Request,
+    arrived: Time,
+    /// Position that a session or fresh read needs.
+    floor: Time,
+    tries: Vec<Try>,
+}
+
+impl Job {
+    fn out(&self) -> usize {
+        self.tries.iter().filter(|t| t.status.is_none()).count()
+    }
+    /// The first attempt that may have run.
+    fn may_have_run(&self) -> Option<&Try> {
+        self.tries.iter().find(|t| t.status.is_none_or(|s| !s.proves_unrun()))
+    }
+}
+
+/// The decisions of one router.
+pub struct Policy {
+    set: Settings,
+    now: Time,
+    random: u64,
+    begun: Option<Time>,
+    members: BTreeMap<MemberId, Member>,
+    jobs: BTreeMap<RequestId, Job>,
+    held: BTreeSet<(GroupId, RequestId)>,
+    /// Mean time of an answer, by class, in seconds.
+    base: Vec<f64>,
+    scout_at: BTreeMap<GroupId, Time>,
+    written: BTreeMap<SessionKey, Time>,
+    hedges: f64,
+    asked: Time,
+}
+
+impl Policy {
+    /// A router that has just started and knows nothing.
+    pub fn new(set: Settings, seed: u64) -> Policy {
+        let base = set.classes.iter().map(|c| c.aim.secs() * 0.2).collect();
+        Policy {
+            set,
+            now: Time(0),
+            random: seed,
+            begun: None,
+            members: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            held: BTreeSet::new(),
+            base,
+            scout_at: BTreeMap::new(),
+            written: BTreeMap::new(),
+            hedges: HEDGE_MAX,
+            asked: Time(0),
+        }
+    }
+
+    /// Takes one event; appends what is to be done.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        self.now = now;
+        if self.begun.is_none() {
+            self.begun = Some(now);
+            out.push(Action::Timer(SWEEP, 0));
+            if self.set.list_on_request {
+                self.asked = now;
+                out.push(Action::Watch);
+            }
+        }
+        match event {
+            Event::List(form, entries) => self.list(form, entries, out),
+            Event::Request(req) => self.request(req, out),
+            Event::Outcome(o) => self.outcome(o, out),
+            Event::Lapsed(id) => self.forget(id),
+            Event::Probed(m, status, _, report) => self.probed(m, status, report, out),
+            Event::Timer(_) => self.sweep(out),
+            Event::Started(..) | Event::Message(..) => {}
+        }
+    }
+
+    // ---- What the list says ----
+
+    fn list(&mut self, form: ListForm, entries: Vec<Entry>, out: &mut Vec<Action>) {
+        if form == ListForm::Failed {
+            return;
+        }
+        if form != ListForm::Delta {
+            let named: BTreeSet<_> = entries.iter().map(|e| e.member).collect();
+            let binds = !self.set.only_draining_binds;
+            for (_, m) in self.members.iter_mut().filter(|(id, _)| binds && !named.contains(id)) {
+                m.draining = m.draining.or(Some(self.now));
+            }
+        }
+        for e in entries {
+            let (now, cap) = (self.now, CAP_START);
+            let m = self.members.entry(e.member).or_insert_with(|| Member {
+                group: e.group,
+                zone: e.zone,
+                weight: 1.0,
+                draining: None,
+                started: None,
+                position: None,
+                anchor: (Time(0), Time(0)),
+                pace: 1.0,
+                role: None,
+                breaker: Breaker::Closed,
+                failures: 0,
+                doubt: false,
+                in_flight: 0,
+                cap,
+                slow: (1.0, now),
+                answered: Time(0),
+                rest: Time(0),
+                probe: None,
+                refreshed: Time(0),
+                sent: VecDeque::new(),
+                rate: (0.0, now),
+                scouted: Time(0),
+            });
+            (m.group, m.zone) = (e.group, e.zone);
+            if self.set.weights && e.weight > 0.0 {
+                m.weight = e.weight;
+            }
+            if e.started > m.started {
+                m.started = e.started;
+                m.failures = 0;
+                m.draining = None;
+            }
+            match e.listed {
+                Listed::Ready => m.draining = None,
+                Listed::Gone if self.set.only_draining_binds => {}
+                Listed::Draining | Listed::Gone => m.draining = m.draining.or(Some(now)),
+            }
+            // The list tells of roles seconds late: it counts only where no answer has told later.
+            let as_of = Time(now.0.saturating_sub(LIST_AGE.0));
+            if e.primary && self.set.list_role != ListRole::None && m.role.is_none_or(|(_, at)| at < as_of) {
+                m.role = Some((Role::Primary, as_of));
+            }
+            if form == ListForm::Cached {
+                self.probe(e.member, out);
+            }
+        }
+    }
+
+    fn probe(&mut self, id: MemberId, out: &mut Vec<Action>) {
+        let Some(m) = self.members.get_mut(&id) else { return };
+        let told = m.draining.is_some_and(|at| self.now.since(at) >= self.set.drain_grace);
+        if self.set.probes && m.probe.is_none() && !told {
+            m.probe = Some(self.now);
+            out.push(Action::Probe(id));
+        }
+    }
+
+    // ---- What is known of members ----
+
+    /// Notes a standing: positions never go back, and the newest evidence of a role wins.
+    fn learn(&mut self, id: MemberId, s: Standing, as_of: Time) {
+        let now = self.now;
+        let Some(m) = self.members.get_mut(&id) else { return };
+        if let Some(role) = s.role {
+            if m.role.is_none_or(|(_, at)| at <= as_of) {
+                m.role = Some((role, as_of));
+            }
+        }
+        let Some(p) = s.position.filter(|p| m.position.is_none_or(|(old, _)| *p >= old)) else { return };
+        if now.since(m.anchor.1) >= PACE_OVER {
+            if m.anchor.1 > Time(0) {
+                let pace = p.since(m.anchor.0).secs() / now.since(m.anchor.1).secs();
+                m.pace = pace.clamp(0.0, 1.0);
+            }
+            m.anchor = (p, now);
+        }
+        m.position = Some((p, as_of));
+        let (group, is_primary) = (m.group, m.role.is_some_and(|r| r.0 == Role::Primary));
+        let high = self.in_group(group).filter_map(|(_, m)| m.position).map(|p| p.0).max().unwrap_or(p);
+        let widest = self.set.classes.iter().filter_map(|c| match c.consistency {
+            Consistency::Bounded(bound) => Some(bound),
+            _ => None,
+        });
+        let margin = widest.max().unwrap_or(MARGIN).max(MARGIN);
+        let Some(m) = self.members.get_mut(&id) else { return };
+        if !is_primary && high.since(p) > margin {
+            if matches!(m.breaker, Breaker::Closed | Breaker::HalfOpen(_)) {
+                m.breaker = Breaker::Open(Why::Lag, now.plus(COOLDOWN));
+            }
+        } else if matches!(m.breaker, Breaker::HalfOpen(Why::Lag)) {
+            m.breaker = Breaker::Closed;
+        }
+    }
+
+    fn in_group(&self, group: GroupId) -> impl Iterator<Item = (MemberId, &Member)> {
+        self.members.iter().filter(move |(_, m)| m.group == group).map(|(id, m)| (*id, m))
+    }
+
+    /// Where a member stands now by its last position and the pace it kept.
+    fn estimate(&self, m: &Member) -> Option<Time> {
+        m.position.map(|(p, at)| p.plus(self.now.since(at).times(m.pace)))
+    }
+
+    /// The last known primary: the newest claim in the group.
+    fn primary(&self, group: GroupId) -> Option<MemberId> {
+        let claims = self.in_group(group).filter_map(|(id, m)| match m.role {
+            Some((Role::Primary, at)) => Some((at, id)),
+            _ => None,
+        });
+        claims.max().map(|(_, id)| id)
+    }
+
+    /// Share of its full capacity that a member has at least, by the rules' slowest warm-up.
+    fn warmth(&self, m: &Member) -> f64 {
+        let Some(started) = m.started else { return 1.0 };
+        let part = self.now.since(started).secs() / self.set.warm_within.secs().max(1e-9);
+        (self.set.cold_from + (1.0 - self.set.cold_from) * part).min(1.0)
+    }
+
+    /// A member's slowness against its peers, faded by age.
+    fn slowness(&self, m: &Member) -> f64 {
+        1.0 + (m.slow.0 - 1.0) * (-self.now.since(m.slow.1).secs() / SLOW_FADE_S).exp()
+    }
+
+    // ---- The one place that every send and refusal passes ----
+
+    /// Whether the rules allow this attempt.
+    fn legal(&self, job: &Job, id: MemberId) -> bool {
+        let (Some(m), class) = (self.members.get(&id), &self.set.classes[usize::from(job.req.class.0)])
+        else {
+            return false;
+        };
+        let out = job.out();
+        if m.group != job.req.group || job.tries.len() >= self.set.max_attempts as usize {
+            return false;
+        }
+        if out > 0 && (!self.set.second_copies || class.effect == Effect::Unsafe || out > 1) {
+            return false;
+        }
+        if let Some(first) = job.may_have_run() {
+            let near = match (class.scope, self.members.get(&first.member)) {
+                (KeyScope::All, _) => true,
+                (KeyScope::Zone, Some(f)) => f.zone == m.zone,
+                (KeyScope::Group, Some(f)) => f.group == m.group,
+                _ => false,
+            };
+            let in_window = self.now.plus(self.set.tick).since(first.sent) < class.window;
+            match class.effect {
+                Effect::Safe => {}
+                Effect::Keyed if near && in_window => {}
+                Effect::Keyed | Effect::Unsafe => return false,
+            }
+        }
+        if m.draining.is_some_and(|at| self.now.since(at) >= self.set.drain_grace) {
+            return false;
+        }
+        if self.set.when_behind == WhenBehind::Answers && !self.passes(job, id, m, false) {
+            return false;
+        }
+        self.cold_room(m, job.req.class)
+    }
+
+    /// A cold member gets no more than its share of what its warm peers have shown they take, counted over
+    /// the window of the rule. Each router counts by its own traffic, so all together stay under the multiple.
+    fn cold_room(&self, m: &Member, class: ClassId) -> bool {
+        let warmth = self.warmth(m);
+        if warmth >= 1.0 {
+            return true;
+        }
+        let recent = m.sent.iter().filter(|s| self.now.since(s.0) < self.set.fall);
+        let (count, work) = recent.fold((0, 0.0), |(n, w), s| (n + 1, w + s.1));
+        let shown = self.members.values().filter(|p| self.warmth(p) >= 1.0).map(|p| self.rate(p) / p.weight);
+        let allowed = shown.fold(0.0, f64::max) * m.weight * self.set.fall.secs();
+        let allowed = allowed * COLD_SHARE * self.set.fall_multiple * warmth;
+        count < 2 || work + self.base[usize::from(class.0)] <= allowed
+    }
+
+    /// Work a second that a member has lately served for this router.
+    fn rate(&self, m: &Member) -> f64 {
+        m.rate.0 * (-self.now.since(m.rate.1).secs() / self.set.fall.secs()).exp()
+    }
+
+    /// Ends a request that has no attempt out: refused where that is harmless, else failed.
+    fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(&id).filter(|j| j.out() == 0) else { return };
+        let class = &self.set.classes[usize::from(job.req.class.0)];
+        let harmless = match class.effect {
+            Effect::Safe => true,
+            Effect::Keyed => job.may_have_run().is_none() || class.scope == KeyScope::All,
+            Effect::Unsafe => job.may_have_run().is_none(),
+        };
+        let after = self.set.retry_after.then_some(self.set.max_retry_after);
+        out.push(if harmless { Action::Refuse(id, after) } else { Action::Fail(id) });
+        self.forget(id);
+    }
+
+    fn forget(&mut self, id: RequestId) {
+        if let Some(job) = self.jobs.remove(&id) {
+            self.held.remove(&(job.req.group, id));
+            for t in job.tries.iter().filter(|t| t.status.is_none()) {
+                if let Some(m) = self.members.get_mut(&t.member) {
+                    m.in_flight = m.in_flight.saturating_sub(1);
+                }
+            }
+        }
+    }
+
+    // ---- Choosing a member ----
+
+    /// The class gate. Known positions pass as in the design; where members check reads themselves, an
+    /// estimate passes too, since a miss there is proved unrun.
+    fn passes(&self, job: &Job, id: MemberId, m: &Member, estimated: bool) -> bool {
+        let is_primary = self.primary(job.req.group) == Some(id);
+        let at = if estimated { self.estimate(m) } else { m.position.map(|p| p.0) };
+        let unknown = estimated && m.position.is_none();
+        match self.set.classes[usize::from(job.req.class.0)].consistency {
+            Consistency::Any | Consistency::Write => true,
+            _ if is_primary => true,
+            Consistency::Fresh => false,
+            Consistency::Session => job.floor == Time(0) || unknown || at.is_some_and(|p| p >= job.floor),
+            Consistency::Bounded(bound) => unknown || at.is_some_and(|p| self.now.since(p) <= bound),
+        }
+    }
+
+    /// Whether the breaker lets a read to this member; lag ejects from reads that need freshness only.
+    fn admits(&self, job: &Job, m: &Member) -> bool {
+        let fresh = match self.set.classes[usize::from(job.req.class.0)].consistency {
+            Consistency::Any => false,
+            Consistency::Session => job.floor > Time(0),
+            _ => true,
+        };
+        match m.breaker {
+            Breaker::Closed => true,
+            Breaker::Open(why, _) => why == Why::Lag && !fresh,
+            Breaker::HalfOpen(Why::Lag) if !fresh => true,
+            Breaker::HalfOpen(Why::Transport) => false,
+            Breaker::HalfOpen(_) => m.in_flight == 0,
+        }
+    }
+
+    /// The member for the next attempt, if one may take it now.
+    fn choose(&mut self, job: &Job) -> Option<MemberId> {
+        let class = self.set.classes[usize::from(job.req.class.0)].clone();
+        let primary = self.primary(job.req.group);
+        if matches!(class.consistency, Consistency::Write | Consistency::Fresh) {
+            return primary.filter(|id| self.primary_takes(job, *id));
+        }
+        let estimated = self.set.when_behind != WhenBehind::Answers;
+        let mut best: Option<(f64, MemberId)> = None;
+        for (id, m) in self.members.iter().filter(|(_, m)| m.group == job.req.group) {
+            let tried = job.tries.iter().any(|t| t.member == *id && t.status != Some(Status::Full));
+            if Some(*id) == primary || tried || m.draining.is_some() || m.rest > self.now {
+                continue;
+            }
+            let room = f64::from(m.in_flight) < (m.cap * self.warmth(m)).max(1.0);
+            if !room || !self.admits(job, m) || !self.passes(job, *id, m, estimated) || !self.legal(job, *id)
+            {
+                continue;
+            }
+            self.random = self.random.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+            let noise = (self.random >> 40) as f64 / (1u64 << 24) as f64;
+            let slow = (self.slowness(m) / SLOW_NOISE).max(1.0) * if m.doubt { 4.0 } else { 1.0 };
+            let mut cost = (f64::from(m.in_flight) + 0.5 + noise) * slow / (m.weight * self.warmth(m));
+            if m.zone != self.set.zone {
+                cost *= 1.0 + 10.0 * self.set.price_cross_zone;
+            }
+            if m.breaker != Breaker::Closed {
+                cost *= 0.5;
+            }
+            if best.is_none_or(|b| cost < b.0) {
+                best = Some((cost, *id));
+            }
+        }
+        best.map(|b| b.1).or_else(|| primary.filter(|id| self.spills(job, *id)))
+    }
+
+    /// Whether the primary can take a write or a fresh read now.
+    fn primary_takes(&self, job: &Job, id: MemberId) -> bool {
+        let Some(m) = self.members.get(&id) else { return false };
+        let closed = match m.breaker {
+            Breaker::Closed => !m.doubt,
+            Breaker::Open(why, _) | Breaker::HalfOpen(why) => {
+                why == Why::Lag
+                    || (why == Why::Silent && m.breaker == Breaker::HalfOpen(why) && m.in_flight == 0)
+            }
+        };
+        let room = f64::from(m.in_flight) < m.cap.max(1.0) && m.rest <= self.now;
+        closed && room && self.legal(job, id)
+    }
+
+    /// The primary as last resort. Its writes come first: a read spills only while they are expected well
+    /// within their aim, and the less the read is worth for its work, the sooner it stops.
+    fn spills(&self, job: &Job, id: MemberId) -> bool {
+        let Some(m) = self.members.get(&id) else { return false };
+        let value = |c: usize| self.set.classes[c].worth / self.base[c];
+        let best = (0..self.base.len()).map(value).fold(1e-9, f64::max);
+        let limit = SPILL_LEAST + SPILL_SPAN * value(usize::from(job.req.class.0)) / best;
+        let classes = self.set.classes.iter().zip(&self.base);
+        let writes = classes.filter(|(c, _)| c.consistency == Consistency::Write);
+        let crowding = writes.map(|(c, base)| base / c.aim.secs()).fold(0.0, f64::max) * self.slowness(m);
+        crowding <= limit && self.primary_takes(job, id)
+    }
+
+    // ---- A request's way ----
+
+    fn request(&mut self, req: Request, out: &mut Vec<Action>) {
+        if usize::from(req.class.0) >= self.set.classes.len() {
+            out.push(Action::Fail(req.id));
+            return;
+        }
+        let floor = match (self.set.classes[usize::from(req.class.0)].consistency, self.set.tokens) {
+            (Consistency::Fresh, _) => self.now,
+            (Consistency::Session, Tokens::Carried) => {
+                req.token.map_or(Time(0), |t| Time(self.now.0.saturating_sub(t.0)))
+            }
+            (Consistency::Session, Tokens::Remembered) => {
+                req.session.and_then(|s| self.written.get(&s)).copied().unwrap_or(Time(0))
+            }
+            _ => Time(0),
+        };
+        self.hedges = (self.hedges + HEDGE_EARN).min(HEDGE_MAX);
+        let id = req.id;
+        self.jobs.insert(id, Job { req, arrived: self.now, floor, tries: Vec::new() });
+        self.place(id, out);
+    }
+
+    /// Sends a request on, holds it, or gives it up.
+    fn place(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
+        let Some(job) = self.jobs.remove(&id) else { return true };
+        let late = self.now.plus(self.set.tick) >= self.useful_until(&job);
+        let target = if late || self.starting(&job) { None } else { self.choose(&job) };
+        let (group, worth_it) = (job.req.group, self.worth_holding(&job));
+        self.jobs.insert(id, job);
+        if let Some(member) = target {
+            self.held.remove(&(group, id));
+            self.send(id, member, out);
+            return true;
+        }
+        if !worth_it {
+            self.give_up(id, out);
+            return true;
+        }
+        self.held.insert((group, id));
+        false
+    }
+
+    /// A started router probes first and holds reads meanwhile.
+    fn starting(&self, job: &Job) -> bool {
+        let write = self.set.classes[usize::from(job.req.class.0)].consistency == Consistency::Write;
+        let early = self.begun.is_some_and(|at| self.now.since(at) < START_HOLD);
+        let unanswered = |m: &Member| m.probe.is_some() && m.refreshed == Time(0);
+        early && !write && self.in_group(job.req.group).any(|(_, m)| unanswered(m))
+    }
+
+    /// The time until which an answer still earns something.
+    fn useful_until(&self, job: &Job) -> Time {
+        let class = &self.set.classes[usize::from(job.req.class.0)];
+        let last = Time(job.req.give_up.0.saturating_sub(2 * self.set.tick.0));
+        let aim = Time(job.arrived.plus(class.aim).0.saturating_sub(self.set.tick.0));
+        if class.late_worth > 0.0 {
+            last
+        } else {
+            last.min(aim)
+        }
+    }
+
+    /// Held only while an attempt may still be made and can still be answered in time.
+    fn worth_holding(&self, job: &Job) -> bool {
+        let base = Time((self.base[usize::from(job.req.class.0)] * 0.5e9) as u64);
+        let attempts = job.tries.len() < self.set.max_attempts as usize;
+        let class = &self.set.classes[usize::from(job.req.class.0)];
+        let again = class.effect == Effect::Safe
+            || job.may_have_run().is_none_or(|first| {
+                class.effect == Effect::Keyed && self.now.since(first.sent) < class.window
+            });
+        let group = self.in_group(job.req.group).next().is_some();
+        group && attempts && again && self.now.plus(base).plus(SWEEP) < self.useful_until(job)
+    }
+
+    fn send(&mut self, id: RequestId, member: MemberId, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let base = self.base[usize::from(job.req.class.0)];
+        let limit = self.useful_until(job).since(self.now).max(self.set.tick);
+        let (Some(job), Some(m)) = (self.jobs.get_mut(&id), self.members.get_mut(&member)) else { return };
+        job.tries.push(Try { member, sent: self.now, status: None, cancelled: false });
+        m.in_flight += 1;
+        m.sent.push_back((self.now, base));
+        while m.sent.front().is_some_and(|s| self.now.since(s.0) > self.set.fall) {
+            m.sent.pop_front();
+        }
+        out.push(Action::Send(id, member, Some(limit)));
+    }
+
+    fn outcome(&mut self, o: Outcome, out: &mut Vec<Action>) {
+        let now = self.now;
+        let answer = matches!(o.status, Status::Ok | Status::Miss | Status::Error | Status::Full);
+        let sent = Time(now.0.saturating_sub(o.took.0));
+        if answer {
+            self.learn(o.member, o.standing, now);
+        }
+        let mut class = None;
+        if let Some(job) = self.jobs.get_mut(&o.request) {
+            if let Some(t) = job.tries.get_mut(usize::from(o.attempt.0)).filter(|t| t.status.is_none()) {
+                t.status = Some(o.status);
+                class = Some(job.req.class);
+                if let Some(m) = self.members.get_mut(&o.member) {
+                    m.in_flight = m.in_flight.saturating_sub(1);
+                }
+                let session = job.req.session;
+                if let (Status::Ok, Some(s), Some(p)) = (o.status, session, o.standing.position) {
+                    if self.set.classes[usize::from(job.req.class.0)].consistency == Consistency::Write {
+                        self.written.entry(s).and_modify(|w| *w = p.max(*w)).or_insert(p);
+                    }
+                }
+            }
+        }
+        self.judge(&o, class, sent, out);
+        if o.ended {
+            self.forget(o.request);
+        } else if self.jobs.contains_key(&o.request) {
+            self.place(o.request, out);
+        }
+        if let Some(group) = self.members.get(&o.member).map(|m| m.group) {
+            self.pump(group, out);
+        }
+    }
+
+    /// What an attempt's end says of its member.
+    fn judge(&mut self, o: &Outcome, class: Option<ClassId>, sent: Time, out: &mut Vec<Action>) {
+        let now = self.now;
+        let fall = self.set.fall.secs();
+        let write =
+            class.is_some_and(|c| self.set.classes[usize::from(c.0)].consistency == Consistency::Write);
+        let Some(m) = self.members.get_mut(&o.member) else { return };
+        match o.status {
+            Status::Ok | Status::Miss | Status::Full => {
+                (m.failures, m.doubt, m.refreshed) = (0, false, now);
+                if o.status != Status::Full {
+                    m.answered = now;
+                    if matches!(m.breaker, Breaker::HalfOpen(Why::Silent) | Breaker::Open(Why::Silent, _)) {
+                        m.breaker = Breaker::Closed;
+                    }
+                }
+            }
+            Status::Error => m.failures += 1,
+            Status::ConnectFailed | Status::Reset => {
+                m.failures += 1;
+                m.doubt = true;
+            }
+            Status::Timeout if m.answered < sent => m.failures += 1,
+            _ => {}
+        }
+        match (o.status, class) {
+            (Status::Full, _) => {
+                m.rest = now.plus(FULL_REST);
+                m.cap = (f64::from(m.in_flight) * 0.8).max(CAP_FLOOR);
+            }
+            (Status::Miss, _) if write && m.role.is_none_or(|(_, at)| at < now) => {
+                m.role = Some((Role::Replica, now));
+            }
+            (Status::Ok | Status::Timeout, Some(c)) => {
+                let (c, took) = (usize::from(c.0), o.took.secs());
+                let aim = self.set.classes[c].aim.secs();
+                let faded = 1.0 + (m.slow.0 - 1.0) * (-now.since(m.slow.1).secs() / SLOW_FADE_S).exp();
+                m.slow = (faded + SLOW_GAIN * (took / self.base[c] - faded), now);
+                if took > CAP_LATE * aim {
+                    m.cap = (m.cap * 0.9).max(CAP_FLOOR);
+                } else if f64::from(m.in_flight) + 1.0 >= m.cap * 0.5 {
+                    m.cap += 1.0 / m.cap;
+                }
+                if o.status == Status::Ok {
+                    let old = m.rate.0 * (-now.since(m.rate.1).secs() / fall).exp();
+                    m.rate = (old + self.base[c] / fall, now);
+                }
+                self.base[c] += BASE_GAIN * (took - self.base[c]);
+            }
+            _ => {}
+        }
+        if m.failures >= FAILURES && !matches!(m.breaker, Breaker::Open(Why::Transport, _)) {
+            m.breaker = Breaker::Open(Why::Transport, now.plus(COOLDOWN));
+        } else if m.doubt {
+            self.probe(o.member, out);
+        }
+    }
+
+    fn probed(&mut self, id: MemberId, status: Status, report: Standing, out: &mut Vec<Action>) {
+        let now = self.now;
+        let Some(m) = self.members.get_mut(&id) else { return };
+        m.probe = None;
+        let group = m.group;
+        if status == Status::Ok {
+            m.refreshed = now;
+            m.doubt = false;
+            if m.breaker == Breaker::HalfOpen(Why::Transport) {
+                (m.breaker, m.failures) = (Breaker::Closed, 0);
+            }
+            self.learn(id, report, now);
+        } else {
+            m.refreshed = m.refreshed.max(Time(1));
+            m.failures += 1;
+            m.doubt = true;
+            if m.failures >= FAILURES || m.breaker == Breaker::HalfOpen(Why::Transport) {
+                m.breaker = Breaker::Open(Why::Transport, now.plus(COOLDOWN));
+            }
+        }
+        self.pump(group, out);
+    }
+
+    /// Tries what is held for a group, the most worth for its work first.
+    fn pump(&mut self, group: GroupId, out: &mut Vec<Action>) {
+        let span = (group, RequestId(0))..=(group, RequestId(u64::MAX));
+        let mut waiting: Vec<(u64, Time, RequestId)> = Vec::new();
+        for (_, id) in self.held.range(span) {
+            if let Some(job) = self.jobs.get(id) {
+                let c = usize::from(job.req.class.0);
+                let value = self.set.classes[c].worth / self.base[c];
+                waiting.push((u64::MAX - (value * 1e6) as u64, job.arrived, *id));
+            }
+        }
+        waiting.sort();
+        let mut stuck = vec![0u32; self.set.classes.len()];
+        for (_, _, id) in waiting {
+            let class = self.jobs.get(&id).map_or(0, |j| usize::from(j.req.class.0));
+            if stuck[class] < 4 && !self.place(id, out) {
+                stuck[class] += 1;
+            }
+        }
+    }
+
+    // ---- Housekeeping ----
+
+    fn sweep(&mut self, out: &mut Vec<Action>) {
+        out.push(Action::Timer(SWEEP, 0));
+        let now = self.now;
+        if self.set.list_on_request && now.since(self.asked).0 > self.set.ask_every.0 / 2 {
+            self.asked = now;
+            out.push(Action::Fetch);
+        }
+        let expired: Vec<RequestId> =
+            self.held.iter().map(|h| h.1).filter(|id| !self.worth_holding(&self.jobs[id])).collect();
+        for id in expired {
+            self.give_up(id, out);
+        }
+        self.overdue(out);
+        let ids: Vec<MemberId> = self.members.keys().copied().collect();
+        for id in ids {
+            let Some(m) = self.members.get_mut(&id) else { continue };
+            if let Breaker::Open(why, until) = m.breaker {
+                if now >= until {
+                    m.breaker = Breaker::HalfOpen(why);
+                    if why != Why::Silent {
+                        self.probe(id, out);
+                    }
+                    continue;
+                }
+            }
+            let heard = m.refreshed.max(m.probe.unwrap_or(Time(0)));
+            if now.since(heard) >= PROBE_EVERY && matches!(m.breaker, Breaker::Closed) {
+                self.probe(id, out);
+            }
+        }
+        let groups: BTreeSet<GroupId> = self.held.iter().map(|h| h.0).collect();
+        for group in groups {
+            self.scout(group, out);
+            self.pump(group, out);
+        }
+    }
+
+    /// With no primary known, one held write at a time tries the members in turn: a miss is proved unrun.
+    fn scout(&mut self, group: GroupId, out: &mut Vec<Action>) {
+        let usable = |p: &Member| !p.doubt && p.breaker == Breaker::Closed && p.draining.is_none();
+        let known = self.primary(group).and_then(|id| self.members.get(&id)).is_some_and(usable);
+        if known || self.scout_at.get(&group).is_some_and(|at| self.now < *at) {
+            return;
+        }
+        let span = (group, RequestId(0))..=(group, RequestId(u64::MAX));
+        let jobs = self.held.range(span).filter_map(|h| self.jobs.get(&h.1).map(|j| (h.1, j)));
+        let writes = jobs
+            .filter(|(_, j)| self.set.classes[usize::from(j.req.class.0)].consistency == Consistency::Write);
+        let Some((id, job)) = writes.min_by_key(|(_, j)| j.tries.len()) else { return };
+        let usual = self.in_group(group).filter(|(m, _)| self.legal(job, *m));
+        let fit = usual.filter(|(_, m)| usable(m));
+        let Some((member, _)) = fit.min_by_key(|(_, m)| (m.scouted, m.position.map(|p| u64::MAX - p.0 .0)))
+        else {
+            return;
+        };
+        self.scout_at.insert(group, self.now.plus(SCOUT_EVERY));
+        if let Some(m) = self.members.get_mut(&member) {
+            m.scouted = self.now;
+        }
+        self.held.remove(&(group, id));
+        self.send(id, member, out);
+    }
+
+    /// Attempts out for too long: the silent member is rested, and a safe read gets another chance elsewhere.
+    fn overdue(&mut self, out: &mut Vec<Action>) {
+        let now = self.now;
+        let mut silent = BTreeSet::new();
+        let mut again = Vec::new();
+        for (id, job) in &self.jobs {
+            let c = usize::from(job.req.class.0);
+            let Some(t) = job.tries.iter().rev().find(|t| t.status.is_none()) else { continue };
+            let age = now.since(t.sent);
+            let patience = Time((self.base[c] * SILENT_TIMES * 1e9) as u64).max(SILENT_LEAST);
+            if age > patience && self.members.get(&t.member).is_some_and(|m| m.answered < t.sent) {
+                silent.insert(t.member);
+            }
+            let class = &self.set.classes[c];
+            if class.effect == Effect::Safe
+                && job.out() == 1
+                && !t.cancelled
+                && age > class.aim.times(HEDGE_AT)
+                && now.plus(Time((self.base[c] * 1e9) as u64)) < self.useful_until(job)
+            {
+                again.push(*id);
+            }
+        }
+        for id in silent {
+            if let Some(m) = self.members.get_mut(&id) {
+                if matches!(m.breaker, Breaker::Closed | Breaker::HalfOpen(_)) {
+                    m.breaker = Breaker::Open(Why::Silent, now.plus(SILENT_REST));
+                }
+            }
+        }
+        for id in again {
+            if self.hedges < 1.0 {
+                break;
+            }
+            let Some(mut job) = self.jobs.remove(&id) else { continue };
+            let target = if self.set.second_copies { self.choose(&job) } else { None };
+            let last = job.tries.len() - 1;
+            if let Some(member) = target {
+                self.jobs.insert(id, job);
+                self.hedges -= 1.0;
+                self.send(id, member, out);
+                continue;
+            }
+            if !self.set.second_copies && self.set.cancel && job.tries.len() < 3 {
+                self.hedges -= 1.0;
+                job.tries[last].cancelled = true;
+                out.push(Action::Cancel(id, Attempt(last as u16)));
+            }
+            self.jobs.insert(id, job);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sim/src/lib.rs
@@ -0,0 +1,2 @@
+//! The bench adapter of basalthill: frames in, decisions, frames out.
+pub mod wire;
--- /dev/null
+++ b/crates/sim/src/wire.rs
@@ -0,0 +1,464 @@
+//! Encoding and decoding of the bench's frames, and of the settings text. No decision lives here.
+
+use basalthill_policy::api::*;
+use serde::Deserialize;
+use std::collections::BTreeMap;
+
+const EVENT: usize = 56;
+const ACTION: usize = 32;
+const HEADER: usize = 16;
+
+/// What is wrong with a frame or a settings text.
+pub type Fault = String;
+
+/// One event as the wire has it, for one instance.
+#[derive(Debug)]
+pub enum Incoming {
+    /// An instance starts with a seed and settings.
+    Start(u64, Box<Settings>),
+    /// An instance was killed.
+    Stop,
+    /// Anything the decisions take.
+    Event(Event),
+}
+
+/// Reads fields off a record or a tail.
+struct Cursor<'a> {
+    bytes: &'a [u8],
+    at: usize,
+}
+
+impl Cursor<'_> {
+    fn take<const N: usize>(&mut self) -> Result<[u8; N], Fault> {
+        let part = self.bytes.get(self.at..self.at + N).ok_or("a record ends early")?;
+        self.at += N;
+        part.try_into().map_err(|_| "a record ends early".to_string())
+    }
+    fn u8(&mut self) -> Result<u8, Fault> {
+        Ok(self.take::<1>()?[0])
+    }
+    fn u16(&mut self) -> Result<u16, Fault> {
+        Ok(u16::from_be_bytes(self.take()?))
+    }
+    fn u32(&mut self) -> Result<u32, Fault> {
+        Ok(u32::from_be_bytes(self.take()?))
+    }
+    fn u64(&mut self) -> Result<u64, Fault> {
+        Ok(u64::from_be_bytes(self.take()?))
+    }
+    fn f32(&mut self) -> Result<f64, Fault> {
+        Ok(f64::from(f32::from_be_bytes(self.take()?)))
+    }
+}
+
+/// Decodes frames; holds the numbered lists, which belong to the whole process, and what each instance's
+/// reports mean.
+#[derive(Default)]
+pub struct Decoder {
+    lists: BTreeMap<u8, Vec<Entry>>,
+    zeros: BTreeMap<u32, (Time, Vec<String>)>,
+}
+
+impl Decoder {
+    /// The size of the whole frame, from its first four bytes.
+    pub fn frame_len(head: [u8; 4]) -> Result<usize, Fault> {
+        let len = u32::from_be_bytes(head) as usize;
+        if len < HEADER {
+            return Err(format!("frame length {len} is below its header's {HEADER}"));
+        }
+        Ok(len)
+    }
+
+    /// The clock and the events of a frame, each with its instance, in order.
+    pub fn frame(&mut self, frame: &[u8]) -> Result<(Time, Vec<(u32, Incoming)>), Fault> {
+        let mut head = Cursor { bytes: frame, at: 0 };
+        let (len, now, count) = (head.u32()? as usize, Time(head.u64()?), head.u32()? as usize);
+        let end = HEADER + count.checked_mul(EVENT).ok_or("record count overflows")?;
+        if len != frame.len() || end > len {
+            return Err(format!("frame of {} bytes can't hold {count} records", frame.len()));
+        }
+        let (records, tail) = frame[HEADER..].split_at(end - HEADER);
+        let mut events = Vec::with_capacity(count);
+        for (i, record) in records.chunks_exact(EVENT).enumerate() {
+            if let Some(event) = self.record(record, tail).map_err(|e| format!("record {i}: {e}"))? {
+                events.push(event);
+            }
+        }
+        Ok((now, events))
+    }
+
+    fn record(&mut self, bytes: &[u8], tail: &[u8]) -> Result<Option<(u32, Incoming)>, Fault> {
+        let mut c = Cursor { bytes, at: 0 };
+        let code = c.u8()?;
+        if code == 11 {
+            let number = c.u8()?;
+            let (start, count) = (c.u32()? as usize, c.u32()? as usize);
+            let rows = tail.get(start..).unwrap_or(&[]);
+            if count.checked_mul(26).is_none_or(|n| n > rows.len()) {
+                return Err(format!("list of {count} entries at {start} runs past the tail"));
+            }
+            let rows = rows.chunks_exact(26).take(count).map(entry).collect::<Result<_, _>>()?;
+            self.lists.insert(number, rows);
+            return Ok(None);
+        }
+        let inst = c.u32()?;
+        let event = match code {
+            1 => {
+                let seed = c.u64()?;
+                let text = slice(tail, c.u32()?, c.u32()?)?;
+                let (settings, zero, columns) = settings(text)?;
+                self.zeros.insert(inst, (zero, columns));
+                return Ok(Some((inst, Incoming::Start(seed, Box::new(settings)))));
+            }
+            10 => return Ok(Some((inst, Incoming::Stop))),
+            2 => {
+                let form = match c.u8()? {
+                    0 => ListForm::Delta,
+                    1 => ListForm::Full,
+                    2 => ListForm::Cached,
+                    3 => ListForm::Failed,
+                    other => return Err(format!("list form {other} is unknown")),
+                };
+                let (_generation, number) = (c.u32()?, c.u8()?);
+                let rows = match form {
+                    ListForm::Failed => Vec::new(),
+                    _ => self.lists.get(&number).ok_or(format!("list {number} was never sent"))?.clone(),
+                };
+                Event::List(form, rows)
+            }
+            3 => {
+                let (id, class, tenant) = (RequestId(c.u64()?), ClassId(c.u16()?), TenantId(c.u16()?));
+                let (key, give_up, _effort) = (c.u64()?, Time(c.u64()?), c.u64()?);
+                let (group, token) = (GroupId(c.f32()? as u32), c.f32()?);
+                Event::Request(Request {
+                    id,
+                    class,
+                    tenant,
+                    session: (key != 0).then_some(SessionKey(key)),
+                    give_up,
+                    group,
+                    token: (token > 0.0).then_some(Time((token * 1e6) as u64)),
+                })
+            }
+            4 => Event::Started(RequestId(c.u64()?), Attempt(c.u16()?)),
+            5 => {
+                let (request, attempt, member) = (RequestId(c.u64()?), Attempt(c.u16()?), MemberId(c.u32()?));
+                let (status, took, ended, note) = (status(c.u16()?)?, Time(c.u64()?), c.u8()? != 0, c.u32()?);
+                let standing = self.note(inst, note);
+                let report = self.report(inst, &mut c)?;
+                Event::Outcome(Outcome { request, attempt, member, status, took, ended, standing, report })
+            }
+            6 => Event::Lapsed(RequestId(c.u64()?)),
+            7 => Event::Timer(c.u64()?),
+            8 => {
+                let (member, status, took) = (MemberId(c.u32()?), status(c.u16()?)?, Time(c.u64()?));
+                Event::Probed(member, status, took, self.report(inst, &mut c)?)
+            }
+            9 => {
+                let from = RouterId(c.u32()? as u16);
+                Event::Message(from, slice(tail, c.u32()?, c.u32()?)?.to_vec())
+            }
+            other => return Err(format!("event code {other} is unknown")),
+        };
+        Ok(Some((inst, Incoming::Event(event))))
+    }
+
+    fn note(&self, inst: u32, note: u32) -> Standing {
+        let zero = self.zeros.get(&inst).map_or(Time(0), |z| z.0);
+        let position = (note >= 4).then(|| zero.plus(Time::ms(u64::from(note / 4))));
+        let role = match note % 4 {
+            1 => Some(Role::Primary),
+            2 => Some(Role::Replica),
+            _ => None,
+        };
+        Standing { position, role }
+    }
+
+    fn report(&self, inst: u32, c: &mut Cursor) -> Result<Standing, Fault> {
+        let n = usize::from(c.u8()?);
+        let mut standing = Standing::default();
+        let Some((zero, columns)) = self.zeros.get(&inst) else { return Ok(standing) };
+        for column in columns.iter().take(n.min(4)) {
+            let value = c.f32()?;
+            match column.as_str() {
+                "x0" if value > 0.0 => standing.position = Some(zero.plus(Time((value * 1e9) as u64))),
+                "x1" => standing.role = Some(if value >= 0.5 { Role::Primary } else { Role::Replica }),
+                _ => {}
+            }
+        }
+        Ok(standing)
+    }
+}
+
+fn slice(tail: &[u8], start: u32, len: u32) -> Result<&[u8], Fault> {
+    let (start, len) = (start as usize, len as usize);
+    tail.get(start..start.saturating_add(len)).ok_or(format!("{len} bytes at {start} run past the tail"))
+}
+
+fn entry(bytes: &[u8]) -> Result<Entry, Fault> {
+    let mut c = Cursor { bytes, at: 0 };
+    let primary = c.f32()? >= 0.5;
+    let (member, zone, _kind, group) = (MemberId(c.u32()?), ZoneId(c.u16()?), c.u8()?, c.u16()?);
+    let listed = match c.u8()? {
+        1 => Listed::Ready,
+        2 => Listed::Draining,
+        3 => Listed::Gone,
+        other => return Err(format!("member condition {other} is unknown")),
+    };
+    let (weight, started) = (c.f32()?, c.u64()?);
+    let group = GroupId(u32::from(group));
+    let started = (started != 0).then_some(Time(started));
+    Ok(Entry { member, zone, group, listed, weight, primary, started })
+}
+
+fn status(code: u16) -> Result<Status, Fault> {
+    Ok(match code {
+        100 => Status::Ok,
+        101 => Status::Miss,
+        301 => Status::Error,
+        302 => Status::Full,
+        303 => Status::Timeout,
+        304 => Status::ConnectFailed,
+        305 => Status::Reset,
+        306 => Status::Cancelled,
+        307 => Status::Moot,
+        other => return Err(format!("disposition {other} is unknown")),
+    })
+}
+
+/// The reply for a round of actions, each with its instance.
+pub fn reply(actions: &[(u32, Action)]) -> Vec<u8> {
+    let mut out = Vec::with_capacity(8 + actions.len() * ACTION);
+    let mut tail: Vec<u8> = Vec::new();
+    out.extend((actions.len() as u32).to_be_bytes());
+    out.extend([0; 4]);
+    for (inst, action) in actions {
+        let start = out.len();
+        let mut put = |code: u8, parts: &[&[u8]]| {
+            out.push(code);
+            out.extend(inst.to_be_bytes());
+            parts.iter().for_each(|p| out.extend(*p));
+        };
+        match action {
+            Action::Send(id, member, limit) => {
+                let limit = limit.map_or(0, |t| t.0.max(1));
+                put(1, &[&id.0.to_be_bytes(), &member.0.to_be_bytes(), &limit.to_be_bytes()]);
+            }
+            Action::Refuse(id, after) => {
+                put(2, &[&id.0.to_be_bytes(), &after.map_or(0, |t| t.0).to_be_bytes()]);
+            }
+            Action::Fail(id) => put(3, &[&id.0.to_be_bytes()]),
+            Action::Cancel(id, attempt) => put(4, &[&id.0.to_be_bytes(), &attempt.0.to_be_bytes()]),
+            Action::Timer(after, token) => put(5, &[&after.0.to_be_bytes(), &token.to_be_bytes()]),
+            Action::Probe(member) => put(6, &[&member.0.to_be_bytes()]),
+            Action::Log(text) => {
+                let (at, len) = (tail.len() as u32, text.len() as u32);
+                put(9, &[&at.to_be_bytes(), &len.to_be_bytes()]);
+                tail.extend(text.as_bytes());
+            }
+            Action::Watch => put(11, &[&[1]]),
+            Action::Fetch => put(12, &[]),
+        }
+        out.resize(start + ACTION, 0);
+    }
+    out.extend(tail);
+    let len = out.len() as u32;
+    out[4..8].copy_from_slice(&len.to_be_bytes());
+    out
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Text {
+    balancers: u32,
+    me: u16,
+    #[serde(default)]
+    zone: u16,
+    quantum: u64,
+    profiles: Vec<Profile>,
+    #[serde(default)]
+    parties: Vec<Party>,
+    #[serde(default = "one")]
+    over_share_worth: f64,
+    discovery: String,
+    #[serde(default)]
+    weights: String,
+    family_info: Family,
+    bounds: Bounds,
+    rules: Rules,
+    reporting: Reporting,
+    #[serde(default)]
+    prices: Prices,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Profile {
+    aim: u64,
+    deadline: u64,
+    effect: String,
+    #[serde(default)]
+    key_scope: String,
+    #[serde(default)]
+    late_worth: f64,
+    #[serde(default)]
+    window: u64,
+    credit: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Party {
+    quota_per_s: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Family {
+    consistency: Vec<String>,
+    #[serde(default)]
+    lag_allowed: Vec<u64>,
+    #[serde(default)]
+    patience: u64,
+    positions: bool,
+    role_listed: String,
+    token_mode: String,
+    when_behind: String,
+    zero: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Bounds {
+    cancel: bool,
+    max_attempts: u32,
+    #[serde(default)]
+    max_retry_after: u64,
+    parallel_tries: bool,
+    probes: bool,
+    retry_after: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Rules {
+    #[serde(default)]
+    ask_every: u64,
+    cold_from: f64,
+    drain_grace: u64,
+    fall: u64,
+    fall_multiple: f64,
+    warm_within: u64,
+    #[serde(default)]
+    soft_removal: bool,
+}
+
+#[derive(Deserialize)]
+struct Reporting {
+    #[serde(default)]
+    columns: Vec<String>,
+    via: String,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct Prices {
+    cross_zone: f64,
+    waste: f64,
+}
+
+/// Settings, the zero of positions, and the columns of reports.
+fn settings(text: &[u8]) -> Result<(Settings, Time, Vec<String>), Fault> {
+    let t: Text = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
+    let f = &t.family_info;
+    if f.consistency.len() != t.profiles.len() {
+        return Err("settings: consistency and profiles differ in length".into());
+    }
+    let unknown = |what: &str, word: &str| format!("settings: {what} {word:?} is unknown");
+    let mut classes = Vec::new();
+    for (i, p) in t.profiles.iter().enumerate() {
+        let consistency = match f.consistency[i].as_str() {
+            "eventual" => Consistency::Any,
+            "lag_bound" => Consistency::Bounded(Time(f.lag_allowed.get(i).copied().unwrap_or(0))),
+            "causal" => Consistency::Session,
+            "strong" => Consistency::Fresh,
+            "mutate" => Consistency::Write,
+            other => return Err(unknown("consistency", other)),
+        };
+        let effect = match p.effect.as_str() {
+            "idempotent" => Effect::Safe,
+            "deduplicated" => Effect::Keyed,
+            "at_most_once" => Effect::Unsafe,
+            other => return Err(unknown("effect", other)),
+        };
+        let scope = match p.key_scope.as_str() {
+            "" | "all" => KeyScope::All,
+            "zone" => KeyScope::Zone,
+            "cell" => KeyScope::Group,
+            other => return Err(unknown("keyScope", other)),
+        };
+        classes.push(Class {
+            consistency,
+            effect,
+            scope,
+            window: Time(p.window),
+            aim: Time(p.aim),
+            deadline: Time(p.deadline),
+            worth: p.credit,
+            late_worth: p.late_worth,
+        });
+    }
+    let reports = t.reporting.via != "none";
+    let column = |name: &str| reports && t.reporting.columns.iter().any(|c| c == name);
+    let settings = Settings {
+        me: RouterId(t.me),
+        routers: t.balancers.max(1),
+        zone: ZoneId(t.zone),
+        tick: Time(t.quantum),
+        classes,
+        tenants: t.parties.iter().map(|p| Tenant { quota_per_s: p.quota_per_s }).collect(),
+        over_share_worth: t.over_share_worth,
+        list_on_request: t.discovery == "subscribe",
+        list_role: match f.role_listed.as_str() {
+            "trailing" => ListRole::Late,
+            "static" => ListRole::Start,
+            "none" => ListRole::None,
+            other => return Err(unknown("roleListed", other)),
+        },
+        weights: t.weights != "none",
+        positions: f.positions,
+        probe_positions: column("x0"),
+        probe_roles: column("x1"),
+        tokens: match f.token_mode.as_str() {
+            "brought" => Tokens::Carried,
+            "kept" => Tokens::Remembered,
+            other => return Err(unknown("tokenMode", other)),
+        },
+        when_behind: match f.when_behind.as_str() {
+            "none" => WhenBehind::Answers,
+            "bounce" => WhenBehind::Refuses,
+            "await" => WhenBehind::Waits(Time(f.patience)),
+            other => return Err(unknown("whenBehind", other)),
+        },
+        max_attempts: t.bounds.max_attempts,
+        second_copies: t.bounds.parallel_tries,
+        cancel: t.bounds.cancel,
+        probes: t.bounds.probes,
+        retry_after: t.bounds.retry_after,
+        max_retry_after: Time(t.bounds.max_retry_after),
+        drain_grace: Time(t.rules.drain_grace),
+        only_draining_binds: t.rules.soft_removal,
+        cold_from: t.rules.cold_from,
+        warm_within: Time(t.rules.warm_within),
+        fall_multiple: t.rules.fall_multiple,
+        fall: Time(t.rules.fall),
+        ask_every: Time(t.rules.ask_every),
+        price_cross_zone: t.prices.cross_zone,
+        price_waste: t.prices.waste,
+    };
+    Ok((settings, Time(f.zero), t.reporting.columns))
+}
