Let attempts run to the client's limit; copies only against doubtful members

Cause: work times vary widely by request, so a cut at half or all of the aim threw away running work and freed in-flight counts while the member was still busy. Cuts of a member's cap now count once a round trip.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -81,6 +81,7 @@
     doubt: bool,
     in_flight: u32,
     cap: f64,
+    cut: Time,
     slow: (f64, Time),
     answered: Time,
     rest: Time,
@@ -205,6 +206,7 @@
                 doubt: false,
                 in_flight: 0,
                 cap,
+                cut: now,
                 slow: (1.0, now),
                 answered: Time(0),
                 rest: Time(0),
@@ -573,7 +575,7 @@
     fn send(&mut self, id: RequestId, member: MemberId, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id) else { return };
         let base = self.base[usize::from(job.req.class.0)];
-        let limit = self.useful_until(job).since(self.now).max(self.set.tick);
+        let limit = job.req.give_up.since(self.now.plus(self.set.tick)).max(self.set.tick);
         let (Some(job), Some(m)) = (self.jobs.get_mut(&id), self.members.get_mut(&member)) else { return };
         job.tries.push(Try { member, sent: self.now, status: None, cancelled: false });
         m.in_flight += 1;
@@ -657,7 +659,9 @@
                 let faded = 1.0 + (m.slow.0 - 1.0) * (-now.since(m.slow.1).secs() / SLOW_FADE_S).exp();
                 m.slow = (faded + SLOW_GAIN * (took / self.base[c] - faded), now);
                 if took > CAP_LATE * aim {
-                    m.cap = (m.cap * 0.9).max(CAP_FLOOR);
+                    if sent > m.cut {
+                        (m.cap, m.cut) = ((m.cap * 0.9).max(CAP_FLOOR), now);
+                    }
                 } else if f64::from(m.in_flight) + 1.0 >= m.cap * 0.5 {
                     m.cap += 1.0 / m.cap;
                 }
@@ -799,7 +803,10 @@
                 silent.insert(t.member);
             }
             let class = &self.set.classes[c];
+            let gray =
+                self.members.get(&t.member).is_some_and(|m| m.answered < t.sent || self.slowness(m) > 2.0);
             if class.effect == Effect::Safe
+                && gray
                 && job.out() == 1
                 && !t.cancelled
                 && age > class.aim.times(HEDGE_AT)
