Ask aged positions again before a read is turned from a replica

Cause: the record of a replica that serves nothing ages, so it fails the gate long after it has caught up, and an ejection for lag lasted a whole cooldown. Now a probe (where reports carry positions) or one read at a time (where members refuse) renews it, and a lag ejection is looked at again after half a second. Leftover copies are cancelled. It also covers any member whose record is old for other reasons; it can harm where many misses cost work.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -48,6 +48,10 @@
 const SPILL_SPAN: f64 = 0.3;
 /// Part of the fall multiple that routers together may use at a cold member.
 const COLD_SHARE: f64 = 0.5;
+/// A position older than this is asked for again before a read is turned from its member for lag.
+const KNOWN_FRESH: Time = Time::ms(100);
+/// An ejection for lag is looked at again after this.
+const LAG_REST: Time = Time::ms(500);
 /// Spacing of the samples that tell how fast a member's position moves.
 const PACE_OVER: Time = Time::ms(300);
 
@@ -86,6 +90,7 @@
     answered: Time,
     rest: Time,
     probe: Option<Time>,
+    asked: Time,
     refreshed: Time,
     sent: VecDeque<(Time, f64)>,
     rate: (f64, Time),
@@ -169,7 +174,7 @@
             Event::List(form, entries) => self.list(form, entries, out),
             Event::Request(req) => self.request(req, out),
             Event::Outcome(o) => self.outcome(o, out),
-            Event::Lapsed(id) => self.forget(id),
+            Event::Lapsed(id) => self.forget(id, out),
             Event::Probed(m, status, _, report) => self.probed(m, status, report, out),
             Event::Timer(_) => self.sweep(out),
             Event::Started(..) | Event::Message(..) => {}
@@ -211,6 +216,7 @@
                 answered: Time(0),
                 rest: Time(0),
                 probe: None,
+                asked: Time(0),
                 refreshed: Time(0),
                 sent: VecDeque::new(),
                 rate: (0.0, now),
@@ -245,7 +251,7 @@
         let Some(m) = self.members.get_mut(&id) else { return };
         let told = m.draining.is_some_and(|at| self.now.since(at) >= self.set.drain_grace);
         if self.set.probes && m.probe.is_none() && !told {
-            m.probe = Some(self.now);
+            (m.probe, m.asked) = (Some(self.now), self.now);
             out.push(Action::Probe(id));
         }
     }
@@ -280,7 +286,7 @@
         let Some(m) = self.members.get_mut(&id) else { return };
         if !is_primary && high.since(p) > margin {
             if matches!(m.breaker, Breaker::Closed | Breaker::HalfOpen(_)) {
-                m.breaker = Breaker::Open(Why::Lag, now.plus(COOLDOWN));
+                m.breaker = Breaker::Open(Why::Lag, now.plus(LAG_REST));
             }
         } else if matches!(m.breaker, Breaker::HalfOpen(Why::Lag)) {
             m.breaker = Breaker::Closed;
@@ -291,6 +297,18 @@
         self.members.iter().filter(move |(_, m)| m.group == group).map(|(id, m)| (*id, m))
     }
 
+    fn class(&self, job: &Job) -> &Class {
+        &self.set.classes[usize::from(job.req.class.0)]
+    }
+
+    fn consistency(&self, job: &Job) -> Consistency {
+        self.class(job).consistency
+    }
+
+    fn is_primary(&self, id: MemberId) -> bool {
+        self.members.get(&id).is_some_and(|m| self.primary(m.group) == Some(id))
+    }
+
     /// Where a member stands now by its last position and the pace it kept.
     fn estimate(&self, m: &Member) -> Option<Time> {
         m.position.map(|(p, at)| p.plus(self.now.since(at).times(m.pace)))
@@ -386,13 +404,17 @@
         };
         let after = self.set.retry_after.then_some(self.set.max_retry_after);
         out.push(if harmless { Action::Refuse(id, after) } else { Action::Fail(id) });
-        self.forget(id);
+        self.forget(id, out);
     }
 
-    fn forget(&mut self, id: RequestId) {
+    /// Drops an ended request; attempts still out serve nobody now.
+    fn forget(&mut self, id: RequestId, out: &mut Vec<Action>) {
         if let Some(job) = self.jobs.remove(&id) {
             self.held.remove(&(job.req.group, id));
-            for t in job.tries.iter().filter(|t| t.status.is_none()) {
+            for (n, t) in job.tries.iter().enumerate().filter(|(_, t)| t.status.is_none()) {
+                if self.set.cancel && self.set.classes[usize::from(job.req.class.0)].effect == Effect::Safe {
+                    out.push(Action::Cancel(id, Attempt(n as u16)));
+                }
                 if let Some(m) = self.members.get_mut(&t.member) {
                     m.in_flight = m.in_flight.saturating_sub(1);
                 }
@@ -466,7 +488,44 @@
                 best = Some((cost, *id));
             }
         }
-        best.map(|b| b.1).or_else(|| primary.filter(|id| self.spills(job, *id)))
+        let best = best.map(|b| b.1).or_else(|| self.trial(job, primary));
+        best.or_else(|| primary.filter(|id| !self.asking(job) && self.spills(job, *id)))
+    }
+
+    /// A replica that fails the gate by an aged position, where it turns the read away untouched if it really
+    /// is behind: the answer or the miss tells. One such read at a time, the most advanced first.
+    fn trial(&self, job: &Job, primary: Option<MemberId>) -> Option<MemberId> {
+        if self.set.when_behind != WhenBehind::Refuses {
+            return None;
+        }
+        let fits = self.in_group(job.req.group).filter(|(id, m)| {
+            let aged = m.position.is_none_or(|(_, at)| self.now.since(at) > KNOWN_FRESH);
+            let well = !m.doubt && matches!(m.breaker, Breaker::Closed | Breaker::HalfOpen(Why::Lag));
+            let idle = m.in_flight == 0 && m.draining.is_none() && m.rest <= self.now;
+            Some(*id) != primary && aged && well && idle && self.legal(job, *id)
+        });
+        fits.max_by_key(|(_, m)| self.estimate(m)).map(|f| f.0)
+    }
+
+    /// Whether a replica's position is being asked for on this read's behalf.
+    fn asking(&self, job: &Job) -> bool {
+        let recent = |at: Time| self.now.since(at) < KNOWN_FRESH.times(0.3);
+        self.in_group(job.req.group).any(|(_, m)| m.probe.is_some_and(recent))
+    }
+
+    /// Where reports carry positions, asks replicas with an aged one just in time.
+    fn ask(&mut self, group: GroupId, out: &mut Vec<Action>) {
+        let primary = self.primary(group);
+        let now = self.now;
+        let aged = |m: &Member| m.position.is_none_or(|(_, at)| now.since(at) > KNOWN_FRESH);
+        let ids: Vec<MemberId> = self
+            .in_group(group)
+            .filter(|(id, m)| Some(*id) != primary && aged(m) && now.since(m.asked) > KNOWN_FRESH)
+            .map(|(id, _)| id)
+            .collect();
+        for id in ids {
+            self.probe(id, out);
+        }
     }
 
     /// Whether the primary can take a write or a fresh read now.
@@ -523,7 +582,12 @@
     fn place(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
         let Some(job) = self.jobs.remove(&id) else { return true };
         let late = self.now.plus(self.set.tick) >= self.useful_until(&job);
-        let target = if late || self.starting(&job) { None } else { self.choose(&job) };
+        let mut target = if late || self.starting(&job) { None } else { self.choose(&job) };
+        let read = !matches!(self.consistency(&job), Consistency::Write | Consistency::Fresh);
+        if read && !late && self.set.probe_positions && target.is_none_or(|t| self.is_primary(t)) {
+            self.ask(job.req.group, out);
+            target = target.filter(|_| !self.asking(&job));
+        }
         let (group, worth_it) = (job.req.group, self.worth_holding(&job));
         self.jobs.insert(id, job);
         if let Some(member) = target {
@@ -611,7 +675,7 @@
         }
         self.judge(&o, class, sent, out);
         if o.ended {
-            self.forget(o.request);
+            self.forget(o.request, out);
         } else if self.jobs.contains_key(&o.request) {
             self.place(o.request, out);
         }
