Judge crowding by the wait beyond each class's own time

Cause: slowness relative to peers cannot tell a crowded fleet from an idle one, so reads queued at replicas while the primary stood half idle. A member's wait is now absolute: its answers' time beyond their class's uncrowded time.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -21,13 +21,16 @@
 const CAP_FLOOR: f64 = 2.0;
 /// Answers slower than this share of their aim shrink the member's cap.
 const CAP_LATE: f64 = 0.8;
-/// How fast the mean times of classes and members follow their answers.
-const BASE_GAIN: f64 = 0.02;
-const SLOW_GAIN: f64 = 0.15;
-/// What a member's slowness says fades towards its peers' over this time.
-const SLOW_FADE_S: f64 = 4.0;
-/// Slowness within this factor of the peers is noise.
-const SLOW_NOISE: f64 = 1.3;
+/// A class's own time is the mean of this many answers, followed down fast and up slowly: what an uncrowded
+/// member takes.
+const BLOCK: u32 = 25;
+const BASE_DOWN: f64 = 0.5;
+const BASE_UP: f64 = 0.05;
+/// How fast a member's wait (its answers' time beyond their class's own) follows, and how fast it fades unheard.
+const WAIT_GAIN: f64 = 0.15;
+const WAIT_FADE_S: f64 = 2.0;
+/// A member where an answer is expected past this share of the aim is crowded: it counts as at its cap.
+const CROWDED: f64 = 0.6;
 /// An attempt older than this share of its aim gets another chance elsewhere, while the budget lasts.
 const HEDGE_AT: f64 = 0.5;
 const HEDGE_EARN: f64 = 0.1;
@@ -44,8 +47,8 @@
 const LIST_AGE: Time = Time::ms(5000);
 /// A read spills to the primary while the writes there are expected within this share of their aim, the lower
 /// for the classes worth less for their work.
-const SPILL_LEAST: f64 = 0.2;
-const SPILL_SPAN: f64 = 0.3;
+const SPILL_LEAST: f64 = 0.25;
+const SPILL_SPAN: f64 = 0.35;
 /// Part of the fall multiple that routers together may use at a cold member.
 const COLD_SHARE: f64 = 0.5;
 /// A position older than this is asked for again before a read is turned from its member for lag.
@@ -86,7 +89,7 @@
     in_flight: u32,
     cap: f64,
     cut: Time,
-    slow: (f64, Time),
+    wait: (f64, Time),
     answered: Time,
     rest: Time,
     probe: Option<Time>,
@@ -133,6 +136,7 @@
     held: BTreeSet<(GroupId, RequestId)>,
     /// Mean time of an answer, by class, in seconds.
     base: Vec<f64>,
+    block: Vec<(u32, f64)>,
     scout_at: BTreeMap<GroupId, Time>,
     written: BTreeMap<SessionKey, Time>,
     hedges: f64,
@@ -142,7 +146,7 @@
 impl Policy {
     /// A router that has just started and knows nothing.
     pub fn new(set: Settings, seed: u64) -> Policy {
-        let base = set.classes.iter().map(|c| c.aim.secs() * 0.2).collect();
+        let base: Vec<f64> = set.classes.iter().map(|c| c.aim.secs() * 0.2).collect();
         Policy {
             set,
             now: Time(0),
@@ -151,6 +155,7 @@
             members: BTreeMap::new(),
             jobs: BTreeMap::new(),
             held: BTreeSet::new(),
+            block: vec![(0, 0.0); base.len()],
             base,
             scout_at: BTreeMap::new(),
             written: BTreeMap::new(),
@@ -212,7 +217,7 @@
                 in_flight: 0,
                 cap,
                 cut: now,
-                slow: (1.0, now),
+                wait: (0.0, now),
                 answered: Time(0),
                 rest: Time(0),
                 probe: None,
@@ -330,9 +335,14 @@
         (self.set.cold_from + (1.0 - self.set.cold_from) * part).min(1.0)
     }
 
-    /// A member's slowness against its peers, faded by age.
-    fn slowness(&self, m: &Member) -> f64 {
-        1.0 + (m.slow.0 - 1.0) * (-self.now.since(m.slow.1).secs() / SLOW_FADE_S).exp()
+    /// How long answers take at a member beyond their class's own time, faded by age, in seconds.
+    fn wait(&self, m: &Member) -> f64 {
+        m.wait.0 * (-self.now.since(m.wait.1).secs() / WAIT_FADE_S).exp()
+    }
+
+    /// Whether an answer of this class is expected too late there.
+    fn crowded(&self, m: &Member, c: usize) -> bool {
+        self.base[c] + self.wait(m) > CROWDED * self.set.classes[c].aim.secs() && m.in_flight > 0
     }
 
     // ---- The one place that every send and refusal passes ----
@@ -476,7 +486,11 @@
             }
             self.random = self.random.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
             let noise = (self.random >> 40) as f64 / (1u64 << 24) as f64;
-            let slow = (self.slowness(m) / SLOW_NOISE).max(1.0) * if m.doubt { 4.0 } else { 1.0 };
+            let c = usize::from(job.req.class.0);
+            if self.crowded(m, c) {
+                continue;
+            }
+            let slow = (1.0 + self.wait(m) / self.base[c]).max(0.5) * if m.doubt { 4.0 } else { 1.0 };
             let mut cost = (f64::from(m.in_flight) + 0.5 + noise) * slow / (m.weight * self.warmth(m));
             if m.zone != self.set.zone {
                 cost *= 1.0 + 10.0 * self.set.price_cross_zone;
@@ -551,8 +565,10 @@
         let limit = SPILL_LEAST + SPILL_SPAN * value(usize::from(job.req.class.0)) / best;
         let classes = self.set.classes.iter().zip(&self.base);
         let writes = classes.filter(|(c, _)| c.consistency == Consistency::Write);
-        let crowding = writes.map(|(c, base)| base / c.aim.secs()).fold(0.0, f64::max) * self.slowness(m);
-        crowding <= limit && self.primary_takes(job, id)
+        let wait = self.wait(m);
+        let crowding = writes.map(|(c, base)| (base + wait) / c.aim.secs()).fold(0.0, f64::max);
+        let room = crowding <= limit && !self.crowded(m, usize::from(job.req.class.0));
+        room && self.primary_takes(job, id)
     }
 
     // ---- A request's way ----
@@ -720,8 +736,10 @@
             (Status::Ok | Status::Timeout, Some(c)) => {
                 let (c, took) = (usize::from(c.0), o.took.secs());
                 let aim = self.set.classes[c].aim.secs();
-                let faded = 1.0 + (m.slow.0 - 1.0) * (-now.since(m.slow.1).secs() / SLOW_FADE_S).exp();
-                m.slow = (faded + SLOW_GAIN * (took / self.base[c] - faded), now);
+                let faded = m.wait.0 * (-now.since(m.wait.1).secs() / WAIT_FADE_S).exp();
+                let shortest = self.base.iter().copied().fold(f64::MAX, f64::min);
+                let gain = WAIT_GAIN * (2.0 * shortest / self.base[c]).min(1.0);
+                m.wait = (faded + gain * (took - self.base[c] - faded), now);
                 if took > CAP_LATE * aim {
                     if sent > m.cut {
                         (m.cap, m.cut) = ((m.cap * 0.9).max(CAP_FLOOR), now);
@@ -733,7 +751,14 @@
                     let old = m.rate.0 * (-now.since(m.rate.1).secs() / fall).exp();
                     m.rate = (old + self.base[c] / fall, now);
                 }
-                self.base[c] += BASE_GAIN * (took - self.base[c]);
+                let (n, sum) = &mut self.block[c];
+                (*n, *sum) = (*n + 1, *sum + took);
+                if *n >= BLOCK {
+                    let mean = *sum / f64::from(*n);
+                    let gain = if mean < self.base[c] { BASE_DOWN } else { BASE_UP };
+                    self.base[c] += gain * (mean - self.base[c]);
+                    self.block[c] = (0, 0.0);
+                }
             }
             _ => {}
         }
@@ -867,8 +892,10 @@
                 silent.insert(t.member);
             }
             let class = &self.set.classes[c];
-            let gray =
-                self.members.get(&t.member).is_some_and(|m| m.answered < t.sent || self.slowness(m) > 2.0);
+            let gray = self
+                .members
+                .get(&t.member)
+                .is_some_and(|m| m.answered < t.sent || self.wait(m) > self.base[c]);
             if class.effect == Effect::Safe
                 && gray
                 && job.out() == 1
