Let held requests go once their answer would come late

Cause: holds ran to half a service time before the aim, so what was then sent came late and wasted the member.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -29,6 +29,8 @@
 /// How fast a member's wait (its answers' time beyond their class's own) follows, and how fast it fades unheard.
 const WAIT_GAIN: f64 = 0.15;
 const WAIT_FADE_S: f64 = 2.0;
+/// A held read is let go when less than this many times its class's own time is left.
+const HOLD_TIMES: f64 = 1.2;
 /// A member where an answer is expected past this share of the aim is crowded: it counts as at its cap.
 const CROWDED: f64 = 0.6;
 /// An attempt older than this share of its aim gets another chance elsewhere, while the budget lasts.
@@ -641,7 +643,7 @@
 
     /// Held only while an attempt may still be made and can still be answered in time.
     fn worth_holding(&self, job: &Job) -> bool {
-        let base = Time((self.base[usize::from(job.req.class.0)] * 0.5e9) as u64);
+        let base = Time((self.base[usize::from(job.req.class.0)] * HOLD_TIMES * 1e9) as u64);
         let attempts = job.tries.len() < self.set.max_attempts as usize;
         let class = &self.set.classes[usize::from(job.req.class.0)];
         let again = class.effect == Effect::Safe
