Put long any-reads on the member furthest behind

They now gather on one member, the furthest behind (at first the lowest id), the same at every router. It also spares the rest from any other long read; it can harm where one member cannot carry them all, when the crowding limit passes them on.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -57,6 +57,8 @@
 const KNOWN_FRESH: Time = Time::ms(100);
 /// An ejection for lag is looked at again after this.
 const LAG_REST: Time = Time::ms(500);
+/// A read that any member may answer is long past this many times the shortest class's own time.
+const LONG_TIMES: f64 = 4.0;
 /// Spacing of the samples that tell how fast a member's position moves.
 const PACE_OVER: Time = Time::ms(300);
 
@@ -475,6 +477,11 @@
             return primary.filter(|id| self.primary_takes(job, *id));
         }
         let estimated = self.set.when_behind != WhenBehind::Answers;
+        // Long reads that any member may answer stop the log where they run: all routers put them on the member
+        // that is furthest behind (at first: of the lowest id), so that the others stay fresh.
+        let own = self.base[usize::from(job.req.class.0)];
+        let long = class.consistency == Consistency::Any
+            && own > LONG_TIMES * self.base.iter().copied().fold(f64::MAX, f64::min);
         let mut best: Option<(f64, MemberId)> = None;
         for (id, m) in self.members.iter().filter(|(_, m)| m.group == job.req.group) {
             let tried = job.tries.iter().any(|t| t.member == *id && t.status != Some(Status::Full));
@@ -500,6 +507,10 @@
             if m.breaker != Breaker::Closed {
                 cost *= 0.5;
             }
+            if long {
+                let lag = self.estimate(m).map_or(0.0, |p| self.now.since(p).secs());
+                cost = f64::from(id.0) / 1e10 - if lag > MARGIN.secs() { lag } else { 0.0 };
+            }
             if best.is_none_or(|b| cost < b.0) {
                 best = Some((cost, *id));
             }
