--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -20,7 +20,7 @@
 const CAP_START: f64 = 16.0;
 const CAP_FLOOR: f64 = 2.0;
 /// Answers slower than this share of their aim shrink the member's cap.
-const CAP_LATE: f64 = 0.8;
+const CAP_LATE: f64 = 0.7;
 /// A class's own time is the mean of this many answers, followed down fast and up slowly: what an uncrowded
 /// member takes.
 const BLOCK: u32 = 25;
@@ -755,7 +755,7 @@
                 m.wait = (faded + gain * (took - self.base[c] - faded), now);
                 if took > CAP_LATE * aim {
                     if sent > m.cut {
-                        (m.cap, m.cut) = ((m.cap * 0.9).max(CAP_FLOOR), now);
+                        (m.cap, m.cut) = ((m.cap * 0.8).max(CAP_FLOOR), now);
                     }
                 } else if f64::from(m.in_flight) + 1.0 >= m.cap * 0.5 {
                     m.cap += 1.0 / m.cap;
