--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -20,7 +20,7 @@
 const CAP_START: f64 = 16.0;
 const CAP_FLOOR: f64 = 2.0;
 /// Answers slower than this share of their aim shrink the member's cap.
-const CAP_LATE: f64 = 0.7;
+const CAP_LATE: f64 = 0.6;
 /// A class's own time is the mean of this many answers, followed down fast and up slowly: what an uncrowded
 /// member takes.
 const BLOCK: u32 = 25;
@@ -32,7 +32,7 @@
 /// A held read is let go when less than this many times its class's own time is left.
 const HOLD_TIMES: f64 = 1.2;
 /// A member where an answer is expected past this share of the aim is crowded: it counts as at its cap.
-const CROWDED: f64 = 0.6;
+const CROWDED: f64 = 0.45;
 /// An attempt older than this share of its aim gets another chance elsewhere, while the budget lasts.
 const HEDGE_AT: f64 = 0.5;
 const HEDGE_EARN: f64 = 0.1;
@@ -755,7 +755,7 @@
                 m.wait = (faded + gain * (took - self.base[c] - faded), now);
                 if took > CAP_LATE * aim {
                     if sent > m.cut {
-                        (m.cap, m.cut) = ((m.cap * 0.8).max(CAP_FLOOR), now);
+                        (m.cap, m.cut) = ((m.cap * 0.7).max(CAP_FLOOR), now);
                     }
                 } else if f64::from(m.in_flight) + 1.0 >= m.cap * 0.5 {
                     m.cap += 1.0 / m.cap;
