--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -57,6 +57,8 @@
 const KNOWN_FRESH: Time = Time::ms(100);
 /// An ejection for lag is looked at again after this.
 const LAG_REST: Time = Time::ms(500);
+/// Bias against crossing zones, times its price.
+const ZONE_TIMES: f64 = 30.0;
 /// A read that any member may answer is long past this many times the shortest class's own time.
 const LONG_TIMES: f64 = 4.0;
 /// Spacing of the samples that tell how fast a member's position moves.
@@ -502,7 +504,7 @@
             let slow = (1.0 + self.wait(m) / self.base[c]).max(0.5) * if m.doubt { 4.0 } else { 1.0 };
             let mut cost = (f64::from(m.in_flight) + 0.5 + noise) * slow / (m.weight * self.warmth(m));
             if m.zone != self.set.zone {
-                cost *= 1.0 + 10.0 * self.set.price_cross_zone;
+                cost *= 1.0 + ZONE_TIMES * self.set.price_cross_zone;
             }
             if m.breaker != Breaker::Closed {
                 cost *= 0.5;
