--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -57,6 +57,8 @@
 const KNOWN_FRESH: Time = Time::ms(100);
 /// An ejection for lag is looked at again after this.
 const LAG_REST: Time = Time::ms(500);
+/// A replica further behind than this has its cap cut.
+const LAG_CROWDED: Time = Time::ms(300);
 /// Bias against crossing zones, times its price.
 const ZONE_TIMES: f64 = 30.0;
 /// A read that any member may answer is long past this many times the shortest class's own time.
@@ -287,6 +289,10 @@
             m.anchor = (p, now);
         }
         m.position = Some((p, as_of));
+        // A replica whose log falls behind while it serves is crowded, whatever its answers' times say.
+        if now.since(p) > LAG_CROWDED && now.since(m.cut) > LAG_CROWDED {
+            (m.cap, m.cut) = ((m.cap * 0.7).max(CAP_FLOOR), now);
+        }
         let (group, is_primary) = (m.group, m.role.is_some_and(|r| r.0 == Role::Primary));
         let high = self.in_group(group).filter_map(|(_, m)| m.position).map(|p| p.0).max().unwrap_or(p);
         let widest = self.set.classes.iter().filter_map(|c| match c.consistency {
