--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -4,67 +4,44 @@
 use crate::api::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// Housekeeping: held requests, overdue attempts, probes.
-const SWEEP: Time = Time::ms(10);
-/// A member that no answer has refreshed for this long is probed.
-const PROBE_EVERY: Time = Time::ms(2000);
-/// How long an ejected member stays out before one probe (or one real read) decides.
-const COOLDOWN: Time = Time::ms(5000);
-/// Behind its group's most advanced member by more than this (or the widest bound), a member is ejected.
-const MARGIN: Time = Time::ms(1000);
-/// Transport failures running that eject a member.
-const FAILURES: u32 = 3;
-/// A started router holds reads for its first probes no longer than this.
-const START_HOLD: Time = Time::ms(250);
-/// In-flight cap: where it starts and its floor; it then follows the times that answers take.
-const CAP_START: f64 = 16.0;
-const CAP_FLOOR: f64 = 2.0;
-/// Answers slower than this share of their aim shrink the member's cap.
-const CAP_LATE: f64 = 0.6;
-/// A class's own time is the mean of this many answers, followed down fast and up slowly: what an uncrowded
-/// member takes.
-const BLOCK: u32 = 25;
-const BASE_DOWN: f64 = 0.5;
-const BASE_UP: f64 = 0.05;
-/// How fast a member's wait (its answers' time beyond their class's own) follows, and how fast it fades unheard.
-const WAIT_GAIN: f64 = 0.15;
-const WAIT_FADE_S: f64 = 2.0;
-/// A held read is let go when less than this many times its class's own time is left.
-const HOLD_TIMES: f64 = 1.2;
-/// A member where an answer is expected past this share of the aim is crowded: it counts as at its cap.
-const CROWDED: f64 = 0.45;
-/// An attempt older than this share of its aim gets another chance elsewhere, while the budget lasts.
-const HEDGE_AT: f64 = 0.5;
-const HEDGE_EARN: f64 = 0.1;
-const HEDGE_MAX: f64 = 10.0;
-/// No answer since its oldest attempt for this many times that class's mean: a member is silent.
-const SILENT_TIMES: f64 = 6.0;
-const SILENT_LEAST: Time = Time::ms(250);
-/// How long a silent member rests before one real request tries it.
-const SILENT_REST: Time = Time::ms(1000);
-/// Pause after a round of misses in the search for a primary, and after a full queue.
-const SCOUT_EVERY: Time = Time::ms(40);
-const FULL_REST: Time = Time::ms(100);
-/// What the list says of roles is taken to be this old.
-const LIST_AGE: Time = Time::ms(5000);
-/// A read spills to the primary while the writes there are expected within this share of their aim, the lower
-/// for the classes worth less for their work.
-const SPILL_LEAST: f64 = 0.25;
-const SPILL_SPAN: f64 = 0.35;
-/// Part of the fall multiple that routers together may use at a cold member.
-const COLD_SHARE: f64 = 0.5;
-/// A position older than this is asked for again before a read is turned from its member for lag.
-const KNOWN_FRESH: Time = Time::ms(100);
-/// An ejection for lag is looked at again after this.
-const LAG_REST: Time = Time::ms(500);
-/// A replica further behind than this has its cap cut.
-const LAG_CROWDED: Time = Time::ms(300);
-/// Bias against crossing zones, times its price.
-const ZONE_TIMES: f64 = 30.0;
-/// A read that any member may answer is long past this many times the shortest class's own time.
-const LONG_TIMES: f64 = 4.0;
-/// Spacing of the samples that tell how fast a member's position moves.
-const PACE_OVER: Time = Time::ms(300);
+// Tuned values: times.
+const SWEEP: Time = Time::ms(10); // housekeeping: held requests, overdue attempts, probes
+const PROBE_EVERY: Time = Time::ms(2000); // a member that no answer has refreshed for this long is probed
+const PROBE_DOUBT: Time = Time::ms(200); // and one in doubt after this
+const REPORT_AGE: Time = Time::ms(150); // what a probe reports is taken to be this old
+const LIST_AGE: Time = Time::ms(5000); // and what the list says of roles this
+const KNOWN_FRESH: Time = Time::ms(100); // an older position is asked for again before it fails a read
+const MARGIN: Time = Time::ms(1000); // behind by more than this (or the widest bound) ejects
+const LAG_REST: Time = Time::ms(500); // cooldown of an ejection for lag,
+const COOLDOWN: Time = Time::ms(1000); // for transport failures,
+const SILENT_REST: Time = Time::ms(1000); // for silence
+const SILENT_LEAST: Time = Time::ms(250); // no attempt is overdue before this
+const FULL_REST: Time = Time::ms(100); // a full member is left alone for this
+const SCOUT_EVERY: Time = Time::ms(40); // pace of the search for a primary
+const START_HOLD: Time = Time::ms(250); // a started router holds reads for its probes no longer
+const PACE_OVER: Time = Time::ms(300); // spacing of the samples that tell how fast a position moves
+                                       // Counts and shares.
+const FAILURES: u32 = 3; // transport failures running that eject
+const CAP_START: f64 = 16.0; // in-flight cap of a member at first,
+const CAP_FLOOR: f64 = 2.0; // at least,
+const CAP_LATE: f64 = 0.6; // cut when an answer takes this share of its aim
+const CAP_CUT: f64 = 0.7; // by this factor, once a round trip
+const CROWDED: f64 = 0.45; // expected past this share of the aim: the member counts as at its cap
+const BLOCK: u32 = 25; // a class's own time is the mean of this many answers,
+const BASE_DOWN: f64 = 0.5; // followed down fast
+const BASE_UP: f64 = 0.05; // and up slowly: what an uncrowded member takes
+const WAIT_GAIN: f64 = 0.15; // how fast a member's wait beyond its classes' own times follows answers
+const WAIT_FADE_S: f64 = 2.0; // and fades unheard
+const HOLD_TIMES: f64 = 1.2; // less than this many own times left: a held request is let go
+const SILENT_TIMES: f64 = 6.0; // an attempt out for this many own times is overdue
+const LONG_TIMES: f64 = 4.0; // an any-read past this many times the shortest class's own time is long
+const ZONE_TIMES: f64 = 30.0; // bias against crossing zones, times its price
+const HEDGE_AT: f64 = 0.5; // share of the aim after which a doubtful member's read goes elsewhere too,
+const HEDGE_EARN: f64 = 0.1; // at most this many times a request,
+const HEDGE_MAX: f64 = 10.0; // with this much saved up
+const SPILL_LEAST: f64 = 0.25; // a read spills while writes are expected within this share of their aim,
+const SPILL_SPAN: f64 = 0.35; // and this much more by its worth for its work
+const COLD_SHARE: f64 = 0.5; // part of the fall multiple used at a cold member
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Why {
@@ -73,14 +50,16 @@
     Silent,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 enum Breaker {
+    #[default]
     Closed,
     Open(Why, Time),
     HalfOpen(Why),
 }
 
 /// What this router knows of a member.
+#[derive(Default)]
 struct Member {
     group: GroupId,
     zone: ZoneId,
@@ -117,6 +96,7 @@
 
 struct Job {
     req: Request,
+    c: usize,
     arrived: Time,
     /// Position that a session or fresh read needs.
     floor: Time,
@@ -208,33 +188,9 @@
             }
         }
         for e in entries {
-            let (now, cap) = (self.now, CAP_START);
-            let m = self.members.entry(e.member).or_insert_with(|| Member {
-                group: e.group,
-                zone: e.zone,
-                weight: 1.0,
-                draining: None,
-                started: None,
-                position: None,
-                anchor: (Time(0), Time(0)),
-                pace: 1.0,
-                role: None,
-                breaker: Breaker::Closed,
-                failures: 0,
-                doubt: false,
-                in_flight: 0,
-                cap,
-                cut: now,
-                wait: (0.0, now),
-                answered: Time(0),
-                rest: Time(0),
-                probe: None,
-                asked: Time(0),
-                refreshed: Time(0),
-                sent: VecDeque::new(),
-                rate: (0.0, now),
-                scouted: Time(0),
-            });
+            let now = self.now;
+            let fresh = || Member { weight: 1.0, pace: 1.0, cap: CAP_START, ..Member::default() };
+            let m = self.members.entry(e.member).or_insert_with(fresh);
             (m.group, m.zone) = (e.group, e.zone);
             if self.set.weights && e.weight > 0.0 {
                 m.weight = e.weight;
@@ -289,10 +245,6 @@
             m.anchor = (p, now);
         }
         m.position = Some((p, as_of));
-        // A replica whose log falls behind while it serves is crowded, whatever its answers' times say.
-        if now.since(p) > LAG_CROWDED && now.since(m.cut) > LAG_CROWDED {
-            (m.cap, m.cut) = ((m.cap * 0.7).max(CAP_FLOOR), now);
-        }
         let (group, is_primary) = (m.group, m.role.is_some_and(|r| r.0 == Role::Primary));
         let high = self.in_group(group).filter_map(|(_, m)| m.position).map(|p| p.0).max().unwrap_or(p);
         let widest = self.set.classes.iter().filter_map(|c| match c.consistency {
@@ -314,14 +266,6 @@
         self.members.iter().filter(move |(_, m)| m.group == group).map(|(id, m)| (*id, m))
     }
 
-    fn class(&self, job: &Job) -> &Class {
-        &self.set.classes[usize::from(job.req.class.0)]
-    }
-
-    fn consistency(&self, job: &Job) -> Consistency {
-        self.class(job).consistency
-    }
-
     fn is_primary(&self, id: MemberId) -> bool {
         self.members.get(&id).is_some_and(|m| self.primary(m.group) == Some(id))
     }
@@ -361,15 +305,12 @@
 
     /// Whether the rules allow this attempt.
     fn legal(&self, job: &Job, id: MemberId) -> bool {
-        let (Some(m), class) = (self.members.get(&id), &self.set.classes[usize::from(job.req.class.0)])
-        else {
-            return false;
-        };
+        let (Some(m), class) = (self.members.get(&id), &self.set.classes[job.c]) else { return false };
         let out = job.out();
-        if m.group != job.req.group || job.tries.len() >= self.set.max_attempts as usize {
-            return false;
-        }
-        if out > 0 && (!self.set.second_copies || class.effect == Effect::Unsafe || out > 1) {
+        let spent = job.tries.len() >= self.set.max_attempts as usize;
+        let copy = out > 0 && (!self.set.second_copies || class.effect == Effect::Unsafe || out > 1);
+        let drained = m.draining.is_some_and(|at| self.now.since(at) >= self.set.drain_grace);
+        if m.group != job.req.group || spent || copy || drained {
             return false;
         }
         if let Some(first) = job.may_have_run() {
@@ -386,28 +327,20 @@
                 Effect::Keyed | Effect::Unsafe => return false,
             }
         }
-        if m.draining.is_some_and(|at| self.now.since(at) >= self.set.drain_grace) {
-            return false;
-        }
-        if self.set.when_behind == WhenBehind::Answers && !self.passes(job, id, m, false) {
-            return false;
-        }
-        self.cold_room(m, job.req.class)
+        let stale = self.set.when_behind == WhenBehind::Answers && !self.passes(job, id, m, false);
+        !stale && self.cold_room(m, job.c)
     }
 
     /// A cold member gets no more than its share of what its warm peers have shown they take, counted over
     /// the window of the rule. Each router counts by its own traffic, so all together stay under the multiple.
-    fn cold_room(&self, m: &Member, class: ClassId) -> bool {
+    fn cold_room(&self, m: &Member, c: usize) -> bool {
         let warmth = self.warmth(m);
-        if warmth >= 1.0 {
-            return true;
-        }
         let recent = m.sent.iter().filter(|s| self.now.since(s.0) < self.set.fall);
         let (count, work) = recent.fold((0, 0.0), |(n, w), s| (n + 1, w + s.1));
         let shown = self.members.values().filter(|p| self.warmth(p) >= 1.0).map(|p| self.rate(p) / p.weight);
         let allowed = shown.fold(0.0, f64::max) * m.weight * self.set.fall.secs();
         let allowed = allowed * COLD_SHARE * self.set.fall_multiple * warmth;
-        count < 2 || work + self.base[usize::from(class.0)] <= allowed
+        warmth >= 1.0 || count < 2 || work + self.base[c] <= allowed
     }
 
     /// Work a second that a member has lately served for this router.
@@ -418,7 +351,7 @@
     /// Ends a request that has no attempt out: refused where that is harmless, else failed.
     fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id).filter(|j| j.out() == 0) else { return };
-        let class = &self.set.classes[usize::from(job.req.class.0)];
+        let class = &self.set.classes[job.c];
         let harmless = match class.effect {
             Effect::Safe => true,
             Effect::Keyed => job.may_have_run().is_none() || class.scope == KeyScope::All,
@@ -434,7 +367,7 @@
         if let Some(job) = self.jobs.remove(&id) {
             self.held.remove(&(job.req.group, id));
             for (n, t) in job.tries.iter().enumerate().filter(|(_, t)| t.status.is_none()) {
-                if self.set.cancel && self.set.classes[usize::from(job.req.class.0)].effect == Effect::Safe {
+                if self.set.cancel && self.set.classes[job.c].effect == Effect::Safe {
                     out.push(Action::Cancel(id, Attempt(n as u16)));
                 }
                 if let Some(m) = self.members.get_mut(&t.member) {
@@ -452,7 +385,7 @@
         let is_primary = self.primary(job.req.group) == Some(id);
         let at = if estimated { self.estimate(m) } else { m.position.map(|p| p.0) };
         let unknown = estimated && m.position.is_none();
-        match self.set.classes[usize::from(job.req.class.0)].consistency {
+        match self.set.classes[job.c].consistency {
             Consistency::Any | Consistency::Write => true,
             _ if is_primary => true,
             Consistency::Fresh => false,
@@ -463,7 +396,7 @@
 
     /// Whether the breaker lets a read to this member; lag ejects from reads that need freshness only.
     fn admits(&self, job: &Job, m: &Member) -> bool {
-        let fresh = match self.set.classes[usize::from(job.req.class.0)].consistency {
+        let fresh = match self.set.classes[job.c].consistency {
             Consistency::Any => false,
             Consistency::Session => job.floor > Time(0),
             _ => true,
@@ -479,35 +412,29 @@
 
     /// The member for the next attempt, if one may take it now.
     fn choose(&mut self, job: &Job) -> Option<MemberId> {
-        let class = self.set.classes[usize::from(job.req.class.0)].clone();
+        let needs = self.set.classes[job.c].consistency;
         let primary = self.primary(job.req.group);
-        if matches!(class.consistency, Consistency::Write | Consistency::Fresh) {
+        if matches!(needs, Consistency::Write | Consistency::Fresh) {
             return primary.filter(|id| self.primary_takes(job, *id));
         }
         let estimated = self.set.when_behind != WhenBehind::Answers;
         // Long reads that any member may answer stop the log where they run: all routers put them on the member
         // that is furthest behind (at first: of the lowest id), so that the others stay fresh.
-        let own = self.base[usize::from(job.req.class.0)];
-        let long = class.consistency == Consistency::Any
+        let own = self.base[job.c];
+        let long = needs == Consistency::Any
             && own > LONG_TIMES * self.base.iter().copied().fold(f64::MAX, f64::min);
         let mut best: Option<(f64, MemberId)> = None;
         for (id, m) in self.members.iter().filter(|(_, m)| m.group == job.req.group) {
             let tried = job.tries.iter().any(|t| t.member == *id && t.status != Some(Status::Full));
-            if Some(*id) == primary || tried || m.draining.is_some() || m.rest > self.now {
-                continue;
-            }
-            let room = f64::from(m.in_flight) < (m.cap * self.warmth(m)).max(1.0);
-            if !room || !self.admits(job, m) || !self.passes(job, *id, m, estimated) || !self.legal(job, *id)
-            {
+            let room = f64::from(m.in_flight) < (m.cap * self.warmth(m)).max(1.0) && m.rest <= self.now;
+            let fit = room && !tried && m.draining.is_none() && !self.crowded(m, job.c);
+            let passes = Some(*id) != primary && self.admits(job, m) && self.passes(job, *id, m, estimated);
+            if !fit || !passes || !self.legal(job, *id) {
                 continue;
             }
             self.random = self.random.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
             let noise = (self.random >> 40) as f64 / (1u64 << 24) as f64;
-            let c = usize::from(job.req.class.0);
-            if self.crowded(m, c) {
-                continue;
-            }
-            let slow = (1.0 + self.wait(m) / self.base[c]).max(0.5) * if m.doubt { 4.0 } else { 1.0 };
+            let slow = (1.0 + self.wait(m) / own).max(0.5) * if m.doubt { 4.0 } else { 1.0 };
             let mut cost = (f64::from(m.in_flight) + 0.5 + noise) * slow / (m.weight * self.warmth(m));
             if m.zone != self.set.zone {
                 cost *= 1.0 + ZONE_TIMES * self.set.price_cross_zone;
@@ -530,14 +457,12 @@
     /// A replica that fails the gate by an aged position, where it turns the read away untouched if it really
     /// is behind: the answer or the miss tells. One such read at a time, the most advanced first.
     fn trial(&self, job: &Job, primary: Option<MemberId>) -> Option<MemberId> {
-        if self.set.when_behind != WhenBehind::Refuses {
-            return None;
-        }
+        let refuses = self.set.when_behind == WhenBehind::Refuses;
         let fits = self.in_group(job.req.group).filter(|(id, m)| {
             let aged = m.position.is_none_or(|(_, at)| self.now.since(at) > KNOWN_FRESH);
             let well = !m.doubt && matches!(m.breaker, Breaker::Closed | Breaker::HalfOpen(Why::Lag));
             let idle = m.in_flight == 0 && m.draining.is_none() && m.rest <= self.now;
-            Some(*id) != primary && aged && well && idle && self.legal(job, *id)
+            refuses && Some(*id) != primary && aged && well && idle && self.legal(job, *id)
         });
         fits.max_by_key(|(_, m)| self.estimate(m)).map(|f| f.0)
     }
@@ -550,17 +475,12 @@
 
     /// Where reports carry positions, asks replicas with an aged one just in time.
     fn ask(&mut self, group: GroupId, out: &mut Vec<Action>) {
-        let primary = self.primary(group);
-        let now = self.now;
-        let aged = |m: &Member| m.position.is_none_or(|(_, at)| now.since(at) > KNOWN_FRESH);
-        let ids: Vec<MemberId> = self
-            .in_group(group)
-            .filter(|(id, m)| Some(*id) != primary && aged(m) && now.since(m.asked) > KNOWN_FRESH)
-            .map(|(id, _)| id)
-            .collect();
-        for id in ids {
-            self.probe(id, out);
-        }
+        let (now, primary) = (self.now, self.primary(group));
+        let aged = |at: Time| now.since(at) > KNOWN_FRESH;
+        let old = |m: &Member| m.position.is_none_or(|(_, at)| aged(at)) && aged(m.asked);
+        let members = self.in_group(group).filter(|(id, m)| Some(*id) != primary && old(m));
+        let ids: Vec<MemberId> = members.map(|m| m.0).collect();
+        ids.into_iter().for_each(|id| self.probe(id, out));
     }
 
     /// Whether the primary can take a write or a fresh read now.
@@ -568,10 +488,8 @@
         let Some(m) = self.members.get(&id) else { return false };
         let closed = match m.breaker {
             Breaker::Closed => !m.doubt,
-            Breaker::Open(why, _) | Breaker::HalfOpen(why) => {
-                why == Why::Lag
-                    || (why == Why::Silent && m.breaker == Breaker::HalfOpen(why) && m.in_flight == 0)
-            }
+            Breaker::Open(why, _) => why == Why::Lag,
+            Breaker::HalfOpen(why) => why == Why::Lag || (why == Why::Silent && m.in_flight == 0),
         };
         let room = f64::from(m.in_flight) < m.cap.max(1.0) && m.rest <= self.now;
         closed && room && self.legal(job, id)
@@ -583,35 +501,32 @@
         let Some(m) = self.members.get(&id) else { return false };
         let value = |c: usize| self.set.classes[c].worth / self.base[c];
         let best = (0..self.base.len()).map(value).fold(1e-9, f64::max);
-        let limit = SPILL_LEAST + SPILL_SPAN * value(usize::from(job.req.class.0)) / best;
+        let limit = SPILL_LEAST + SPILL_SPAN * value(job.c) / best;
         let classes = self.set.classes.iter().zip(&self.base);
         let writes = classes.filter(|(c, _)| c.consistency == Consistency::Write);
         let wait = self.wait(m);
         let crowding = writes.map(|(c, base)| (base + wait) / c.aim.secs()).fold(0.0, f64::max);
-        let room = crowding <= limit && !self.crowded(m, usize::from(job.req.class.0));
+        let room = crowding <= limit && !self.crowded(m, job.c);
         room && self.primary_takes(job, id)
     }
 
     // ---- A request's way ----
 
     fn request(&mut self, req: Request, out: &mut Vec<Action>) {
-        if usize::from(req.class.0) >= self.set.classes.len() {
-            out.push(Action::Fail(req.id));
-            return;
-        }
-        let floor = match (self.set.classes[usize::from(req.class.0)].consistency, self.set.tokens) {
-            (Consistency::Fresh, _) => self.now,
+        let c = usize::from(req.class.0);
+        let Some(class) = self.set.classes.get(c) else { return out.push(Action::Fail(req.id)) };
+        let floor = match (class.consistency, self.set.tokens) {
+            (Consistency::Fresh, _) => Some(self.now),
             (Consistency::Session, Tokens::Carried) => {
-                req.token.map_or(Time(0), |t| Time(self.now.0.saturating_sub(t.0)))
+                req.token.map(|t| Time(self.now.0.saturating_sub(t.0)))
             }
-            (Consistency::Session, Tokens::Remembered) => {
-                req.session.and_then(|s| self.written.get(&s)).copied().unwrap_or(Time(0))
-            }
-            _ => Time(0),
+            (Consistency::Session, _) => req.session.and_then(|s| self.written.get(&s)).copied(),
+            _ => None,
         };
+        let floor = floor.unwrap_or(Time(0));
         self.hedges = (self.hedges + HEDGE_EARN).min(HEDGE_MAX);
         let id = req.id;
-        self.jobs.insert(id, Job { req, arrived: self.now, floor, tries: Vec::new() });
+        self.jobs.insert(id, Job { req, c, arrived: self.now, floor, tries: Vec::new() });
         self.place(id, out);
     }
 
@@ -620,7 +535,7 @@
         let Some(job) = self.jobs.remove(&id) else { return true };
         let late = self.now.plus(self.set.tick) >= self.useful_until(&job);
         let mut target = if late || self.starting(&job) { None } else { self.choose(&job) };
-        let read = !matches!(self.consistency(&job), Consistency::Write | Consistency::Fresh);
+        let read = !matches!(self.set.classes[job.c].consistency, Consistency::Write | Consistency::Fresh);
         if read && !late && self.set.probe_positions && target.is_none_or(|t| self.is_primary(t)) {
             self.ask(job.req.group, out);
             target = target.filter(|_| !self.asking(&job));
@@ -642,7 +557,7 @@
 
     /// A started router probes first and holds reads meanwhile.
     fn starting(&self, job: &Job) -> bool {
-        let write = self.set.classes[usize::from(job.req.class.0)].consistency == Consistency::Write;
+        let write = self.set.classes[job.c].consistency == Consistency::Write;
         let early = self.begun.is_some_and(|at| self.now.since(at) < START_HOLD);
         let unanswered = |m: &Member| m.probe.is_some() && m.refreshed == Time(0);
         early && !write && self.in_group(job.req.group).any(|(_, m)| unanswered(m))
@@ -650,32 +565,26 @@
 
     /// The time until which an answer still earns something.
     fn useful_until(&self, job: &Job) -> Time {
-        let class = &self.set.classes[usize::from(job.req.class.0)];
+        let class = &self.set.classes[job.c];
         let last = Time(job.req.give_up.0.saturating_sub(2 * self.set.tick.0));
         let aim = Time(job.arrived.plus(class.aim).0.saturating_sub(self.set.tick.0));
-        if class.late_worth > 0.0 {
-            last
-        } else {
-            last.min(aim)
-        }
+        last.min(if class.late_worth > 0.0 { last } else { aim })
     }
 
     /// Held only while an attempt may still be made and can still be answered in time.
     fn worth_holding(&self, job: &Job) -> bool {
-        let base = Time((self.base[usize::from(job.req.class.0)] * HOLD_TIMES * 1e9) as u64);
+        let base = Time((self.base[job.c] * HOLD_TIMES * 1e9) as u64);
         let attempts = job.tries.len() < self.set.max_attempts as usize;
-        let class = &self.set.classes[usize::from(job.req.class.0)];
-        let again = class.effect == Effect::Safe
-            || job.may_have_run().is_none_or(|first| {
-                class.effect == Effect::Keyed && self.now.since(first.sent) < class.window
-            });
+        let class = &self.set.classes[job.c];
+        let keyed = |t: &Try| class.effect == Effect::Keyed && self.now.since(t.sent) < class.window;
+        let again = class.effect == Effect::Safe || job.may_have_run().is_none_or(keyed);
         let group = self.in_group(job.req.group).next().is_some();
         group && attempts && again && self.now.plus(base).plus(SWEEP) < self.useful_until(job)
     }
 
     fn send(&mut self, id: RequestId, member: MemberId, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id) else { return };
-        let base = self.base[usize::from(job.req.class.0)];
+        let base = self.base[job.c];
         let limit = job.req.give_up.since(self.now.plus(self.set.tick)).max(self.set.tick);
         let (Some(job), Some(m)) = (self.jobs.get_mut(&id), self.members.get_mut(&member)) else { return };
         job.tries.push(Try { member, sent: self.now, status: None, cancelled: false });
@@ -704,7 +613,7 @@
                 }
                 let session = job.req.session;
                 if let (Status::Ok, Some(s), Some(p)) = (o.status, session, o.standing.position) {
-                    if self.set.classes[usize::from(job.req.class.0)].consistency == Consistency::Write {
+                    if self.set.classes[job.c].consistency == Consistency::Write {
                         self.written.entry(s).and_modify(|w| *w = p.max(*w)).or_insert(p);
                     }
                 }
@@ -749,7 +658,7 @@
         match (o.status, class) {
             (Status::Full, _) => {
                 m.rest = now.plus(FULL_REST);
-                m.cap = (f64::from(m.in_flight) * 0.8).max(CAP_FLOOR);
+                m.cap = (f64::from(m.in_flight) * CAP_CUT).max(CAP_FLOOR);
             }
             (Status::Miss, _) if write && m.role.is_none_or(|(_, at)| at < now) => {
                 m.role = Some((Role::Replica, now));
@@ -763,7 +672,7 @@
                 m.wait = (faded + gain * (took - self.base[c] - faded), now);
                 if took > CAP_LATE * aim {
                     if sent > m.cut {
-                        (m.cap, m.cut) = ((m.cap * 0.7).max(CAP_FLOOR), now);
+                        (m.cap, m.cut) = ((m.cap * CAP_CUT).max(CAP_FLOOR), now);
                     }
                 } else if f64::from(m.in_flight) + 1.0 >= m.cap * 0.5 {
                     m.cap += 1.0 / m.cap;
@@ -801,7 +710,7 @@
             if m.breaker == Breaker::HalfOpen(Why::Transport) {
                 (m.breaker, m.failures) = (Breaker::Closed, 0);
             }
-            self.learn(id, report, now);
+            self.learn(id, report, Time(now.0.saturating_sub(REPORT_AGE.0)));
         } else {
             m.refreshed = m.refreshed.max(Time(1));
             m.failures += 1;
@@ -816,20 +725,14 @@
     /// Tries what is held for a group, the most worth for its work first.
     fn pump(&mut self, group: GroupId, out: &mut Vec<Action>) {
         let span = (group, RequestId(0))..=(group, RequestId(u64::MAX));
-        let mut waiting: Vec<(u64, Time, RequestId)> = Vec::new();
-        for (_, id) in self.held.range(span) {
-            if let Some(job) = self.jobs.get(id) {
-                let c = usize::from(job.req.class.0);
-                let value = self.set.classes[c].worth / self.base[c];
-                waiting.push((u64::MAX - (value * 1e6) as u64, job.arrived, *id));
-            }
-        }
+        let jobs = self.held.range(span).filter_map(|(_, id)| self.jobs.get(id).map(|j| (*id, j)));
+        let value = |c: usize| (self.set.classes[c].worth / self.base[c] * 1e6) as u64;
+        let mut waiting: Vec<_> = jobs.map(|(id, j)| (u64::MAX - value(j.c), j.arrived, id, j.c)).collect();
         waiting.sort();
         let mut stuck = vec![0u32; self.set.classes.len()];
-        for (_, _, id) in waiting {
-            let class = self.jobs.get(&id).map_or(0, |j| usize::from(j.req.class.0));
-            if stuck[class] < 4 && !self.place(id, out) {
-                stuck[class] += 1;
+        for (_, _, id, c) in waiting {
+            if stuck[c] < 4 && !self.place(id, out) {
+                stuck[c] += 1;
             }
         }
     }
@@ -852,18 +755,16 @@
         let ids: Vec<MemberId> = self.members.keys().copied().collect();
         for id in ids {
             let Some(m) = self.members.get_mut(&id) else { continue };
-            if let Breaker::Open(why, until) = m.breaker {
-                if now >= until {
+            let due = if m.doubt { PROBE_DOUBT } else { PROBE_EVERY };
+            match m.breaker {
+                Breaker::Open(why, until) if now >= until => {
                     m.breaker = Breaker::HalfOpen(why);
                     if why != Why::Silent {
                         self.probe(id, out);
                     }
-                    continue;
                 }
-            }
-            let heard = m.refreshed.max(m.probe.unwrap_or(Time(0)));
-            if now.since(heard) >= PROBE_EVERY && matches!(m.breaker, Breaker::Closed) {
-                self.probe(id, out);
+                Breaker::Closed if now.since(m.refreshed.max(m.asked)) >= due => self.probe(id, out),
+                _ => {}
             }
         }
         let groups: BTreeSet<GroupId> = self.held.iter().map(|h| h.0).collect();
@@ -882,15 +783,11 @@
         }
         let span = (group, RequestId(0))..=(group, RequestId(u64::MAX));
         let jobs = self.held.range(span).filter_map(|h| self.jobs.get(&h.1).map(|j| (h.1, j)));
-        let writes = jobs
-            .filter(|(_, j)| self.set.classes[usize::from(j.req.class.0)].consistency == Consistency::Write);
+        let writes = jobs.filter(|(_, j)| self.set.classes[j.c].consistency == Consistency::Write);
         let Some((id, job)) = writes.min_by_key(|(_, j)| j.tries.len()) else { return };
-        let usual = self.in_group(group).filter(|(m, _)| self.legal(job, *m));
-        let fit = usual.filter(|(_, m)| usable(m));
-        let Some((member, _)) = fit.min_by_key(|(_, m)| (m.scouted, m.position.map(|p| u64::MAX - p.0 .0)))
-        else {
-            return;
-        };
+        let fit = self.in_group(group).filter(|(id, m)| usable(m) && self.legal(job, *id));
+        let turn = fit.min_by_key(|(_, m)| (m.scouted, m.position.map(|p| u64::MAX - p.0 .0)));
+        let Some(member) = turn.map(|t| t.0) else { return };
         self.scout_at.insert(group, self.now.plus(SCOUT_EVERY));
         if let Some(m) = self.members.get_mut(&member) {
             m.scouted = self.now;
@@ -902,36 +799,26 @@
     /// Attempts out for too long: the silent member is rested, and a safe read gets another chance elsewhere.
     fn overdue(&mut self, out: &mut Vec<Action>) {
         let now = self.now;
-        let mut silent = BTreeSet::new();
-        let mut again = Vec::new();
+        let (mut silent, mut again) = (BTreeSet::new(), Vec::new());
         for (id, job) in &self.jobs {
-            let c = usize::from(job.req.class.0);
             let Some(t) = job.tries.iter().rev().find(|t| t.status.is_none()) else { continue };
-            let age = now.since(t.sent);
-            let patience = Time((self.base[c] * SILENT_TIMES * 1e9) as u64).max(SILENT_LEAST);
-            if age > patience && self.members.get(&t.member).is_some_and(|m| m.answered < t.sent) {
+            let Some(m) = self.members.get(&t.member) else { continue };
+            let (class, base, age) = (&self.set.classes[job.c], self.base[job.c], now.since(t.sent));
+            let unheard = m.answered < t.sent;
+            if unheard && age > SILENT_LEAST && age.secs() > SILENT_TIMES * base {
                 silent.insert(t.member);
             }
-            let class = &self.set.classes[c];
-            let gray = self
-                .members
-                .get(&t.member)
-                .is_some_and(|m| m.answered < t.sent || self.wait(m) > self.base[c]);
-            if class.effect == Effect::Safe
-                && gray
-                && job.out() == 1
-                && !t.cancelled
-                && age > class.aim.times(HEDGE_AT)
-                && now.plus(Time((self.base[c] * 1e9) as u64)) < self.useful_until(job)
-            {
+            let once = class.effect == Effect::Safe && job.out() == 1 && !t.cancelled;
+            let in_time = now.secs() + base < self.useful_until(job).secs();
+            let late = age > class.aim.times(HEDGE_AT) && (unheard || self.wait(m) > base);
+            if once && late && in_time {
                 again.push(*id);
             }
         }
         for id in silent {
-            if let Some(m) = self.members.get_mut(&id) {
-                if matches!(m.breaker, Breaker::Closed | Breaker::HalfOpen(_)) {
-                    m.breaker = Breaker::Open(Why::Silent, now.plus(SILENT_REST));
-                }
+            let Some(m) = self.members.get_mut(&id) else { continue };
+            if !matches!(m.breaker, Breaker::Open(..)) {
+                m.breaker = Breaker::Open(Why::Silent, now.plus(SILENT_REST));
             }
         }
         for id in again {
