--- /dev/null
+++ b/crates/policy/tests/common/mod.rs
@@ -0,0 +1,204 @@
+//! What the tests share: settings, a small world and a rule checker that knows nothing of the module's guard.
+#![allow(dead_code)]
+
+use basalthill_policy::api::*;
+use basalthill_policy::Policy;
+use std::collections::BTreeMap;
+
+pub const ANY: ClassId = ClassId(0);
+pub const BOUNDED: ClassId = ClassId(1);
+pub const SESSION: ClassId = ClassId(2);
+pub const FRESH: ClassId = ClassId(3);
+pub const UNSAFE: ClassId = ClassId(4);
+pub const KEYED: ClassId = ClassId(5);
+pub const REPORT: ClassId = ClassId(6);
+
+fn class(consistency: Consistency, effect: Effect, aim: u64, deadline: u64) -> Class {
+    let late_worth = if consistency == Consistency::Write { 0.3 } else { 0.0 };
+    Class {
+        consistency,
+        effect,
+        scope: KeyScope::Group,
+        window: Time::ms(2000),
+        aim: Time::ms(aim),
+        deadline: Time::ms(deadline),
+        worth: 1.0,
+        late_worth,
+    }
+}
+
+pub fn settings() -> Settings {
+    Settings {
+        me: RouterId(0),
+        routers: 2,
+        zone: ZoneId(0),
+        tick: Time::ms(5),
+        classes: vec![
+            class(Consistency::Any, Effect::Safe, 400, 1500),
+            class(Consistency::Bounded(Time::ms(2000)), Effect::Safe, 400, 1500),
+            class(Consistency::Session, Effect::Safe, 400, 1500),
+            class(Consistency::Fresh, Effect::Safe, 400, 1500),
+            class(Consistency::Write, Effect::Unsafe, 400, 3000),
+            class(Consistency::Write, Effect::Keyed, 400, 3000),
+            class(Consistency::Any, Effect::Safe, 4000, 8000),
+        ],
+        tenants: Vec::new(),
+        over_share_worth: 0.2,
+        list_on_request: false,
+        list_role: ListRole::Late,
+        weights: true,
+        positions: true,
+        probe_positions: true,
+        probe_roles: true,
+        tokens: Tokens::Carried,
+        when_behind: WhenBehind::Refuses,
+        max_attempts: 6,
+        second_copies: true,
+        cancel: true,
+        probes: true,
+        retry_after: true,
+        max_retry_after: Time::ms(500),
+        drain_grace: Time::ms(1000),
+        only_draining_binds: false,
+        cold_from: 0.2,
+        warm_within: Time::ms(15_000),
+        fall_multiple: 3.0,
+        fall: Time::ms(1500),
+        ask_every: Time::ms(10_000),
+        price_cross_zone: 0.0,
+        price_waste: 0.03,
+    }
+}
+
+pub fn entry(member: u32, group: u32, primary: bool) -> Entry {
+    Entry {
+        member: MemberId(member),
+        zone: ZoneId(0),
+        group: GroupId(group),
+        listed: Listed::Ready,
+        weight: 1.0,
+        primary,
+        started: None,
+    }
+}
+
+/// One router, its clock, and the actions of the last event.
+pub struct Bench {
+    pub policy: Policy,
+    pub now: Time,
+    pub next: u64,
+    pub actions: Vec<Action>,
+    /// Attempts made, by request.
+    pub tries: BTreeMap<RequestId, Vec<MemberId>>,
+    /// All that was ever done, with its time.
+    pub log: Vec<(Time, Action)>,
+}
+
+impl Bench {
+    /// A router that knows primary 1 and replicas 2 and 3 of group 0, whose probes have been answered.
+    pub fn new(set: Settings) -> Bench {
+        let mut b = Bench::raw(set, vec![entry(1, 0, true), entry(2, 0, false), entry(3, 0, false)]);
+        for m in 1..=3 {
+            b.report(m, b.now, if m == 1 { Role::Primary } else { Role::Replica });
+        }
+        b.run(400);
+        b
+    }
+
+    pub fn raw(set: Settings, list: Vec<Entry>) -> Bench {
+        let policy = Policy::new(set, 7);
+        let (tries, log) = (BTreeMap::new(), Vec::new());
+        let mut b = Bench { policy, now: Time::ms(100_000), next: 0, actions: Vec::new(), tries, log };
+        b.event(Event::List(ListForm::Cached, list));
+        b
+    }
+
+    pub fn event(&mut self, event: Event) {
+        self.actions.clear();
+        self.policy.handle(self.now, event, &mut self.actions);
+        for a in &self.actions {
+            if let Action::Send(id, m, _) = a {
+                self.tries.entry(*id).or_default().push(*m);
+            }
+            self.log.push((self.now, a.clone()));
+        }
+    }
+
+    /// Lets time pass, with the timers the router asked for.
+    pub fn run(&mut self, ms: u64) {
+        for _ in 0..ms / 10 {
+            self.now = self.now.plus(Time::ms(10));
+            self.event(Event::Timer(0));
+        }
+    }
+
+    /// A probe's answer: the member stands at `position` in a role.
+    pub fn report(&mut self, m: u32, position: Time, role: Role) {
+        let s = Standing { position: Some(position), role: Some(role) };
+        self.event(Event::Probed(MemberId(m), Status::Ok, Time::ms(1), s));
+    }
+
+    pub fn ask(&mut self, class: ClassId, token_ms: u64) -> RequestId {
+        self.next += 1;
+        let id = RequestId(self.next);
+        self.event(Event::Request(Request {
+            id,
+            class,
+            tenant: TenantId(0),
+            session: Some(SessionKey(1)),
+            give_up: self.now.plus(Time::ms(if class == REPORT { 8000 } else { 1500 })),
+            group: GroupId(0),
+            token: (token_ms > 0).then(|| Time::ms(token_ms)),
+        }));
+        id
+    }
+
+    /// Where the request's latest attempt went, if it is out at all.
+    pub fn went(&self, id: RequestId) -> Option<u32> {
+        self.tries.get(&id).and_then(|t| t.last()).map(|m| m.0)
+    }
+
+    pub fn refused(&self, id: RequestId) -> bool {
+        self.log.iter().any(|(_, a)| matches!(a, Action::Refuse(r, _) if *r == id))
+    }
+
+    pub fn failed(&self, id: RequestId) -> bool {
+        self.log.iter().any(|(_, a)| matches!(a, Action::Fail(r) if *r == id))
+    }
+
+    /// Ends the latest attempt of a request; the member says how far behind it is and its role.
+    pub fn end(&mut self, id: RequestId, status: Status, took: u64, behind: u64, role: Role) {
+        let n = self.tries[&id].len() - 1;
+        let member = self.tries[&id][n];
+        let answer = matches!(status, Status::Ok | Status::Miss | Status::Error | Status::Full);
+        let position = Some(Time(self.now.0 - Time::ms(behind).0));
+        let standing = if answer { Standing { position, role: Some(role) } } else { Standing::default() };
+        self.event(Event::Outcome(Outcome {
+            request: id,
+            attempt: Attempt(n as u16),
+            member,
+            status,
+            took: Time::ms(took),
+            ended: status == Status::Ok,
+            standing,
+            report: Standing::default(),
+        }));
+    }
+
+    /// One read answered by each of the replicas, `behind` milliseconds behind.
+    pub fn teach(&mut self, behind: [u64; 2]) {
+        for (m, lag) in [(2, behind[0]), (3, behind[1])] {
+            let p = Time(self.now.0 - Time::ms(lag).0);
+            self.event(Event::Outcome(Outcome {
+                request: RequestId(u64::MAX),
+                attempt: Attempt(0),
+                member: MemberId(m),
+                status: Status::Miss,
+                took: Time::ms(1),
+                ended: true,
+                standing: Standing { position: Some(p), role: Some(Role::Replica) },
+                report: Standing::default(),
+            }));
+        }
+    }
+}
