Give second chances only to reads out at silent members

Kept: it covers members that take requests and never answer, and harms only if a whole group pauses long.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -36,9 +36,8 @@
 const SILENT_TIMES: f64 = 6.0; // an attempt out for this many own times is overdue
 const LONG_TIMES: f64 = 4.0; // an any-read past this many times the shortest class's own time is long
 const ZONE_TIMES: f64 = 30.0; // bias against crossing zones, times its price
-const HEDGE_AT: f64 = 0.5; // share of the aim after which a doubtful member's read goes elsewhere too,
-const HEDGE_EARN: f64 = 0.1; // at most this many times a request,
-const HEDGE_MAX: f64 = 0.0; // with this much saved up
+const HEDGE_EARN: f64 = 0.05; // reads out at silent members go elsewhere, at most this many times a request,
+const HEDGE_MAX: f64 = 10.0; // with this much saved up
 const SPILL_LEAST: f64 = 0.25; // a read spills while writes are expected within this share of their aim,
 const SPILL_SPAN: f64 = 0.35; // and this much more by its worth for its work
 const COLD_SHARE: f64 = 0.5; // part of the fall multiple used at a cold member
@@ -804,15 +803,12 @@
             let Some(t) = job.tries.iter().rev().find(|t| t.status.is_none()) else { continue };
             let Some(m) = self.members.get(&t.member) else { continue };
             let (class, base, age) = (&self.set.classes[job.c], self.base[job.c], now.since(t.sent));
-            let unheard = m.answered < t.sent;
-            if unheard && age > SILENT_LEAST && age.secs() > SILENT_TIMES * base {
+            if m.answered < t.sent && age > SILENT_LEAST && age.secs() > SILENT_TIMES * base {
                 silent.insert(t.member);
-            }
-            let once = class.effect == Effect::Safe && job.out() == 1 && !t.cancelled;
-            let in_time = now.secs() + base < self.useful_until(job).secs();
-            let late = age > class.aim.times(HEDGE_AT) && (unheard || self.wait(m) > base);
-            if once && late && in_time {
-                again.push(*id);
+                let once = class.effect == Effect::Safe && job.out() == 1 && !t.cancelled;
+                if once && now.secs() + base < self.useful_until(job).secs() {
+                    again.push(*id);
+                }
             }
         }
         for id in silent {
