--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -163,22 +163,19 @@
             }
         }
         match event {
+            Event::List(ListForm::Failed, _) | Event::Started(..) | Event::Message(..) => {}
             Event::List(form, entries) => self.list(form, entries, out),
             Event::Request(req) => self.request(req, out),
             Event::Outcome(o) => self.outcome(o, out),
             Event::Lapsed(id) => self.forget(id, out),
             Event::Probed(m, status, _, report) => self.probed(m, status, report, out),
             Event::Timer(_) => self.sweep(out),
-            Event::Started(..) | Event::Message(..) => {}
         }
     }
 
     // ---- What the list says ----
 
     fn list(&mut self, form: ListForm, entries: Vec<Entry>, out: &mut Vec<Action>) {
-        if form == ListForm::Failed {
-            return;
-        }
         if form != ListForm::Delta {
             let named: BTreeSet<_> = entries.iter().map(|e| e.member).collect();
             let binds = !self.set.only_draining_binds;
@@ -195,14 +192,12 @@
                 m.weight = e.weight;
             }
             if e.started > m.started {
-                m.started = e.started;
-                m.failures = 0;
-                m.draining = None;
+                (m.started, m.failures, m.draining) = (e.started, 0, None);
             }
             match e.listed {
                 Listed::Ready => m.draining = None,
                 Listed::Gone if self.set.only_draining_binds => {}
-                Listed::Draining | Listed::Gone => m.draining = m.draining.or(Some(now)),
+                _ => m.draining = m.draining.or(Some(now)),
             }
             // The list tells of roles seconds late: it counts only where no answer has told later.
             let as_of = Time(now.0.saturating_sub(LIST_AGE.0));
@@ -238,17 +233,16 @@
         let Some(p) = s.position.filter(|p| m.position.is_none_or(|(old, _)| *p >= old)) else { return };
         if now.since(m.anchor.1) >= PACE_OVER {
             if m.anchor.1 > Time(0) {
-                let pace = p.since(m.anchor.0).secs() / now.since(m.anchor.1).secs();
-                m.pace = pace.clamp(0.0, 1.0);
+                m.pace = (p.since(m.anchor.0).secs() / now.since(m.anchor.1).secs()).clamp(0.0, 1.0);
             }
             m.anchor = (p, now);
         }
         m.position = Some((p, as_of));
         let (group, is_primary) = (m.group, m.role.is_some_and(|r| r.0 == Role::Primary));
         let high = self.in_group(group).filter_map(|(_, m)| m.position).map(|p| p.0).max().unwrap_or(p);
-        let widest = self.set.classes.iter().filter_map(|c| match c.consistency {
-            Consistency::Bounded(bound) => Some(bound),
-            _ => None,
+        let widest = self.set.classes.iter().map(|c| match c.consistency {
+            Consistency::Bounded(bound) => bound,
+            _ => MARGIN,
         });
         let margin = widest.max().unwrap_or(MARGIN).max(MARGIN);
         let Some(m) = self.members.get_mut(&id) else { return };
@@ -265,10 +259,6 @@
         self.members.iter().filter(move |(_, m)| m.group == group).map(|(id, m)| (*id, m))
     }
 
-    fn is_primary(&self, id: MemberId) -> bool {
-        self.members.get(&id).is_some_and(|m| self.primary(m.group) == Some(id))
-    }
-
     /// Where a member stands now by its last position and the pace it kept.
     fn estimate(&self, m: &Member) -> Option<Time> {
         m.position.map(|(p, at)| p.plus(self.now.since(at).times(m.pace)))
@@ -292,7 +282,12 @@
 
     /// How long answers take at a member beyond their class's own time, faded by age, in seconds.
     fn wait(&self, m: &Member) -> f64 {
-        m.wait.0 * (-self.now.since(m.wait.1).secs() / WAIT_FADE_S).exp()
+        self.faded(m.wait, WAIT_FADE_S)
+    }
+
+    /// A figure that fades from when it was last renewed.
+    fn faded(&self, (value, at): (f64, Time), over_s: f64) -> f64 {
+        value * (-self.now.since(at).secs() / over_s).exp()
     }
 
     /// Whether an answer of this class is expected too late there.
@@ -313,17 +308,12 @@
             return false;
         }
         if let Some(first) = job.may_have_run() {
-            let near = match (class.scope, self.members.get(&first.member)) {
-                (KeyScope::All, _) => true,
-                (KeyScope::Zone, Some(f)) => f.zone == m.zone,
-                (KeyScope::Group, Some(f)) => f.group == m.group,
-                _ => false,
-            };
+            // All attempts are in one group, so the key's scope can only end at a zone's border.
+            let zone = self.members.get(&first.member).map(|f| f.zone);
+            let near = class.scope != KeyScope::Zone || zone == Some(m.zone);
             let in_window = self.now.plus(self.set.tick).since(first.sent) < class.window;
-            match class.effect {
-                Effect::Safe => {}
-                Effect::Keyed if near && in_window => {}
-                Effect::Keyed | Effect::Unsafe => return false,
+            if class.effect == Effect::Unsafe || (class.effect == Effect::Keyed && !(near && in_window)) {
+                return false;
             }
         }
         let stale = self.set.when_behind == WhenBehind::Answers && !self.passes(job, id, m, false);
@@ -336,26 +326,22 @@
         let warmth = self.warmth(m);
         let recent = m.sent.iter().filter(|s| self.now.since(s.0) < self.set.fall);
         let (count, work) = recent.fold((0, 0.0), |(n, w), s| (n + 1, w + s.1));
-        let shown = self.members.values().filter(|p| self.warmth(p) >= 1.0).map(|p| self.rate(p) / p.weight);
+        let shown = self
+            .members
+            .values()
+            .filter(|p| self.warmth(p) >= 1.0)
+            .map(|p| self.faded(p.rate, self.set.fall.secs()) / p.weight);
         let allowed = shown.fold(0.0, f64::max) * m.weight * self.set.fall.secs();
         let allowed = allowed * COLD_SHARE * self.set.fall_multiple * warmth;
         warmth >= 1.0 || count < 2 || work + self.base[c] <= allowed
     }
 
-    /// Work a second that a member has lately served for this router.
-    fn rate(&self, m: &Member) -> f64 {
-        m.rate.0 * (-self.now.since(m.rate.1).secs() / self.set.fall.secs()).exp()
-    }
-
     /// Ends a request that has no attempt out: refused where that is harmless, else failed.
     fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id).filter(|j| j.out() == 0) else { return };
         let class = &self.set.classes[job.c];
-        let harmless = match class.effect {
-            Effect::Safe => true,
-            Effect::Keyed => job.may_have_run().is_none() || class.scope == KeyScope::All,
-            Effect::Unsafe => job.may_have_run().is_none(),
-        };
+        let everywhere = class.effect == Effect::Keyed && class.scope == KeyScope::All;
+        let harmless = class.effect == Effect::Safe || everywhere || job.may_have_run().is_none();
         let after = self.set.retry_after.then_some(self.set.max_retry_after);
         out.push(if harmless { Action::Refuse(id, after) } else { Action::Fail(id) });
         self.forget(id, out);
@@ -535,7 +521,8 @@
         let late = self.now.plus(self.set.tick) >= self.useful_until(&job);
         let mut target = if late || self.starting(&job) { None } else { self.choose(&job) };
         let read = !matches!(self.set.classes[job.c].consistency, Consistency::Write | Consistency::Fresh);
-        if read && !late && self.set.probe_positions && target.is_none_or(|t| self.is_primary(t)) {
+        let spilt = target.is_none_or(|t| self.primary(job.req.group) == Some(t));
+        if read && !late && spilt && self.set.probe_positions {
             self.ask(job.req.group, out);
             target = target.filter(|_| !self.asking(&job));
         }
@@ -558,8 +545,8 @@
     fn starting(&self, job: &Job) -> bool {
         let write = self.set.classes[job.c].consistency == Consistency::Write;
         let early = self.begun.is_some_and(|at| self.now.since(at) < START_HOLD);
-        let unanswered = |m: &Member| m.probe.is_some() && m.refreshed == Time(0);
-        early && !write && self.in_group(job.req.group).any(|(_, m)| unanswered(m))
+        let mut members = self.in_group(job.req.group);
+        early && !write && members.any(|(_, m)| m.probe.is_some() && m.refreshed == Time(0))
     }
 
     /// The time until which an answer still earns something.
@@ -597,16 +584,15 @@
 
     fn outcome(&mut self, o: Outcome, out: &mut Vec<Action>) {
         let now = self.now;
-        let answer = matches!(o.status, Status::Ok | Status::Miss | Status::Error | Status::Full);
         let sent = Time(now.0.saturating_sub(o.took.0));
-        if answer {
+        if matches!(o.status, Status::Ok | Status::Miss | Status::Error | Status::Full) {
             self.learn(o.member, o.standing, now);
         }
         let mut class = None;
         if let Some(job) = self.jobs.get_mut(&o.request) {
             if let Some(t) = job.tries.get_mut(usize::from(o.attempt.0)).filter(|t| t.status.is_none()) {
                 t.status = Some(o.status);
-                class = Some(job.req.class);
+                class = Some(job.c);
                 if let Some(m) = self.members.get_mut(&o.member) {
                     m.in_flight = m.in_flight.saturating_sub(1);
                 }
@@ -630,27 +616,21 @@
     }
 
     /// What an attempt's end says of its member.
-    fn judge(&mut self, o: &Outcome, class: Option<ClassId>, sent: Time, out: &mut Vec<Action>) {
-        let now = self.now;
-        let fall = self.set.fall.secs();
-        let write =
-            class.is_some_and(|c| self.set.classes[usize::from(c.0)].consistency == Consistency::Write);
+    fn judge(&mut self, o: &Outcome, class: Option<usize>, sent: Time, out: &mut Vec<Action>) {
+        let (now, fall) = (self.now, self.set.fall.secs());
+        let write = class.is_some_and(|c| self.set.classes[c].consistency == Consistency::Write);
+        let Some(m) = self.members.get(&o.member) else { return };
+        let (wait, rate) = (self.wait(m), self.faded(m.rate, fall));
         let Some(m) = self.members.get_mut(&o.member) else { return };
         match o.status {
             Status::Ok | Status::Miss | Status::Full => {
-                (m.failures, m.doubt, m.refreshed) = (0, false, now);
-                if o.status != Status::Full {
-                    m.answered = now;
-                    if matches!(m.breaker, Breaker::HalfOpen(Why::Silent) | Breaker::Open(Why::Silent, _)) {
-                        m.breaker = Breaker::Closed;
-                    }
+                (m.failures, m.doubt, m.refreshed, m.answered) = (0, false, now, now);
+                if matches!(m.breaker, Breaker::HalfOpen(Why::Silent) | Breaker::Open(Why::Silent, _)) {
+                    m.breaker = Breaker::Closed;
                 }
             }
             Status::Error => m.failures += 1,
-            Status::ConnectFailed | Status::Reset => {
-                m.failures += 1;
-                m.doubt = true;
-            }
+            Status::ConnectFailed | Status::Reset => (m.failures, m.doubt) = (m.failures + 1, true),
             Status::Timeout if m.answered < sent => m.failures += 1,
             _ => {}
         }
@@ -663,12 +643,10 @@
                 m.role = Some((Role::Replica, now));
             }
             (Status::Ok | Status::Timeout, Some(c)) => {
-                let (c, took) = (usize::from(c.0), o.took.secs());
-                let aim = self.set.classes[c].aim.secs();
-                let faded = m.wait.0 * (-now.since(m.wait.1).secs() / WAIT_FADE_S).exp();
+                let (took, aim) = (o.took.secs(), self.set.classes[c].aim.secs());
                 let shortest = self.base.iter().copied().fold(f64::MAX, f64::min);
                 let gain = WAIT_GAIN * (2.0 * shortest / self.base[c]).min(1.0);
-                m.wait = (faded + gain * (took - self.base[c] - faded), now);
+                m.wait = (wait + gain * (took - self.base[c] - wait), now);
                 if took > CAP_LATE * aim {
                     if sent > m.cut {
                         (m.cap, m.cut) = ((m.cap * CAP_CUT).max(CAP_FLOOR), now);
@@ -677,8 +655,7 @@
                     m.cap += 1.0 / m.cap;
                 }
                 if o.status == Status::Ok {
-                    let old = m.rate.0 * (-now.since(m.rate.1).secs() / fall).exp();
-                    m.rate = (old + self.base[c] / fall, now);
+                    m.rate = (rate + self.base[c] / fall, now);
                 }
                 let (n, sum) = &mut self.block[c];
                 (*n, *sum) = (*n + 1, *sum + took);
@@ -704,16 +681,14 @@
         m.probe = None;
         let group = m.group;
         if status == Status::Ok {
-            m.refreshed = now;
-            m.doubt = false;
+            (m.refreshed, m.doubt) = (now, false);
             if m.breaker == Breaker::HalfOpen(Why::Transport) {
                 (m.breaker, m.failures) = (Breaker::Closed, 0);
             }
             self.learn(id, report, Time(now.0.saturating_sub(REPORT_AGE.0)));
         } else {
             m.refreshed = m.refreshed.max(Time(1));
-            m.failures += 1;
-            m.doubt = true;
+            (m.failures, m.doubt) = (m.failures + 1, true);
             if m.failures >= FAILURES || m.breaker == Breaker::HalfOpen(Why::Transport) {
                 m.breaker = Breaker::Open(Why::Transport, now.plus(COOLDOWN));
             }
@@ -823,19 +798,16 @@
             }
             let Some(mut job) = self.jobs.remove(&id) else { continue };
             let target = if self.set.second_copies { self.choose(&job) } else { None };
-            let last = job.tries.len() - 1;
-            if let Some(member) = target {
-                self.jobs.insert(id, job);
-                self.hedges -= 1.0;
-                self.send(id, member, out);
-                continue;
-            }
-            if !self.set.second_copies && self.set.cancel && job.tries.len() < 3 {
-                self.hedges -= 1.0;
+            let call_off = !self.set.second_copies && self.set.cancel && job.tries.len() < 3;
+            if let Some(last) = job.tries.len().checked_sub(1).filter(|_| call_off) {
                 job.tries[last].cancelled = true;
                 out.push(Action::Cancel(id, Attempt(last as u16)));
             }
+            self.hedges -= if call_off || target.is_some() { 1.0 } else { 0.0 };
             self.jobs.insert(id, job);
+            if let Some(member) = target {
+                self.send(id, member, out);
+            }
         }
     }
 }
