Count error answers as a share of failures, not as transport failures

Symptom: from 0:20 errors within 3 ms from a few members, writes of one group refused for 20 s. Cause: three quick errors running ejected members, the primary among them; probes passed, so they flapped. Told from a dead member by its answers in between and its fast probes. Change: errors weigh against a member by their share, fading over 10 s, and no longer open the breaker.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -31,6 +31,8 @@
 const BASE_UP: f64 = 0.05; // and up slowly: what an uncrowded member takes
 const WAIT_GAIN: f64 = 0.15; // how fast a member's wait beyond its classes' own times follows answers
 const WAIT_FADE_S: f64 = 2.0; // and fades unheard
+const ERROR_GAIN: f64 = 0.2; // how fast a member's share of failures follows
+const ERROR_FADE_S: f64 = 10.0; // and fades unheard
 const HOLD_TIMES: f64 = 1.2; // less than this many own times left: a held request is let go
 const SILENT_TIMES: f64 = 6.0; // an attempt out for this many own times is overdue
 const LONG_TIMES: f64 = 4.0; // an any-read past this many times the shortest class's own time is long
@@ -75,6 +77,7 @@
     cap: f64,
     cut: Time,
     wait: (f64, Time),
+    errors: (f64, Time),
     answered: Time,
     rest: Time,
     probe: Option<Time>,
@@ -418,7 +421,9 @@
             }
             self.random = self.random.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
             let noise = (self.random >> 40) as f64 / (1u64 << 24) as f64;
-            let slow = (1.0 + self.wait(m) / own).max(0.5) * if m.doubt { 4.0 } else { 1.0 };
+            // One that fails fast looks least loaded: its share of failures weighs against it.
+            let sound = (1.0 - self.faded(m.errors, ERROR_FADE_S)).max(0.1);
+            let slow = (1.0 + self.wait(m) / own).max(0.5) / (sound * sound);
             let mut cost = (f64::from(m.in_flight) + 0.5 + noise) * slow / (m.weight * self.warmth(m));
             cost *= if m.zone == self.set.zone { 1.0 } else { 1.0 + ZONE_TIMES * self.set.price_cross_zone };
             cost *= if m.breaker == Breaker::Closed { 1.0 } else { 0.5 }; // what is behind serves any-reads
@@ -614,6 +619,7 @@
         let write = class.is_some_and(|c| self.set.classes[c].consistency == Consistency::Write);
         let Some(m) = self.members.get(&o.member) else { return };
         let (wait, rate) = (self.wait(m), self.faded(m.rate, fall));
+        let errors = self.faded(m.errors, ERROR_FADE_S);
         let Some(m) = self.members.get_mut(&o.member) else { return };
         match o.status {
             Status::Ok | Status::Miss | Status::Full => {
@@ -622,11 +628,14 @@
                     m.breaker = Breaker::Closed;
                 }
             }
-            Status::Error => m.failures += 1,
             Status::ConnectFailed | Status::Reset => (m.failures, m.doubt) = (m.failures + 1, true),
             Status::Timeout if m.answered < sent => m.failures += 1,
             _ => {}
         }
+        if matches!(o.status, Status::Ok | Status::Error | Status::ConnectFailed | Status::Reset) {
+            let bad = f64::from(u8::from(o.status != Status::Ok));
+            m.errors = (errors + ERROR_GAIN * (bad - errors), now);
+        }
         match (o.status, class) {
             (Status::Full, _) => {
                 m.rest = now.plus(FULL_REST);
