--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -126,6 +126,7 @@
     /// Mean time of an answer, by class, in seconds.
     base: Vec<f64>,
     block: Vec<(u32, f64)>,
+    margin: Time,
     scout_at: BTreeMap<GroupId, Time>,
     written: BTreeMap<SessionKey, Time>,
     hedges: f64,
@@ -135,6 +136,11 @@
 impl Policy {
     /// A router that has just started and knows nothing.
     pub fn new(set: Settings, seed: u64) -> Policy {
+        let widest = set.classes.iter().map(|c| match c.consistency {
+            Consistency::Bounded(bound) => bound,
+            _ => MARGIN,
+        });
+        let margin = widest.max().unwrap_or(MARGIN).max(MARGIN);
         let base: Vec<f64> = set.classes.iter().map(|c| c.aim.secs() * 0.2).collect();
         Policy {
             set,
@@ -144,6 +150,7 @@
             members: BTreeMap::new(),
             jobs: BTreeMap::new(),
             held: BTreeSet::new(),
+            margin,
             block: vec![(0, 0.0); base.len()],
             base,
             scout_at: BTreeMap::new(),
@@ -242,11 +249,7 @@
         m.position = Some((p, as_of));
         let (group, is_primary) = (m.group, m.role.is_some_and(|r| r.0 == Role::Primary));
         let high = self.in_group(group).filter_map(|(_, m)| m.position).map(|p| p.0).max().unwrap_or(p);
-        let widest = self.set.classes.iter().map(|c| match c.consistency {
-            Consistency::Bounded(bound) => bound,
-            _ => MARGIN,
-        });
-        let margin = widest.max().unwrap_or(MARGIN).max(MARGIN);
+        let margin = self.margin;
         let Some(m) = self.members.get_mut(&id) else { return };
         if !is_primary && high.since(p) > margin {
             if matches!(m.breaker, Breaker::Closed | Breaker::HalfOpen(_)) {
@@ -413,7 +416,11 @@
         let mut best: Option<(f64, MemberId)> = None;
         for (id, m) in self.members.iter().filter(|(_, m)| m.group == job.req.group) {
             let tried = job.tries.iter().any(|t| t.member == *id && t.status != Some(Status::Full));
-            let room = f64::from(m.in_flight) < (m.cap * self.warmth(m)).max(1.0) && m.rest <= self.now;
+            // Reads take their CPU from the log's apply thread: the further behind, the fewer at a time.
+            let lag = self.estimate(m).map_or(0.0, |p| self.now.since(p).secs());
+            let near = if needs == Consistency::Any { 1.0 } else { 1.0 - (lag / self.margin.secs()).powi(2) };
+            let room =
+                f64::from(m.in_flight) < (m.cap * self.warmth(m) * near).max(1.0) && m.rest <= self.now;
             let fit = room && !tried && m.draining.is_none() && !self.crowded(m, job.c);
             let passes = Some(*id) != primary && self.admits(job, m) && self.passes(job, *id, m, estimated);
             if !fit || !passes || !self.legal(job, *id) {
@@ -428,7 +435,6 @@
             cost *= if m.zone == self.set.zone { 1.0 } else { 1.0 + ZONE_TIMES * self.set.price_cross_zone };
             cost *= if m.breaker == Breaker::Closed { 1.0 } else { 0.5 }; // what is behind serves any-reads
             if long {
-                let lag = self.estimate(m).map_or(0.0, |p| self.now.since(p).secs());
                 cost = f64::from(id.0) / 1e10 - if lag > MARGIN.secs() { lag } else { 0.0 };
             }
             if best.is_none_or(|b| cost < b.0) {
