--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -295,9 +295,12 @@
         value * (-self.now.since(at).secs() / over_s).exp()
     }
 
-    /// Whether an answer of this class is expected too late there.
-    fn crowded(&self, m: &Member, c: usize) -> bool {
-        self.base[c] + self.wait(m) > CROWDED * self.set.classes[c].aim.secs() && m.in_flight > 0
+    /// Whether this request's answer is expected too late there.
+    fn crowded(&self, job: &Job, m: &Member) -> bool {
+        let (class, took) = (&self.set.classes[job.c], self.base[job.c] + self.wait(m));
+        let late =
+            class.late_worth == 0.0 && took * HOLD_TIMES > self.useful_until(job).since(self.now).secs();
+        m.in_flight > 0 && (late || took > CROWDED * class.aim.secs())
     }
 
     // ---- The one place that every send and refusal passes ----
@@ -421,7 +424,7 @@
             let near = if needs == Consistency::Any { 1.0 } else { 1.0 - (lag / self.margin.secs()).powi(2) };
             let room =
                 f64::from(m.in_flight) < (m.cap * self.warmth(m) * near).max(1.0) && m.rest <= self.now;
-            let fit = room && !tried && m.draining.is_none() && !self.crowded(m, job.c);
+            let fit = room && !tried && m.draining.is_none() && !self.crowded(job, m);
             let passes = Some(*id) != primary && self.admits(job, m) && self.passes(job, *id, m, estimated);
             if !fit || !passes || !self.legal(job, *id) {
                 continue;
@@ -497,7 +500,7 @@
         let writes = classes.filter(|(c, _)| c.consistency == Consistency::Write);
         let wait = self.wait(m);
         let crowding = writes.map(|(c, base)| (base + wait) / c.aim.secs()).fold(0.0, f64::max);
-        let room = crowding <= limit && !self.crowded(m, job.c);
+        let room = crowding <= limit && !self.crowded(job, m);
         room && self.primary_takes(job, id)
     }
 
