Release held requests newest first within a class

Cause: in the order of arrival every held read went out with little of its aim left, and a fifth of all answers came late.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -708,12 +708,12 @@
         self.pump(group, out);
     }
 
-    /// Tries what is held for a group, the most worth for its work first.
+    /// Tries what is held for a group: the most worth for its work first, then the newest, which can still be in time.
     fn pump(&mut self, group: GroupId, out: &mut Vec<Action>) {
         let span = (group, RequestId(0))..=(group, RequestId(u64::MAX));
         let jobs = self.held.range(span).filter_map(|(_, id)| self.jobs.get(id).map(|j| (*id, j)));
         let value = |c: usize| (self.set.classes[c].worth / self.base[c] * 1e6) as u64;
-        let mut waiting: Vec<_> = jobs.map(|(id, j)| (u64::MAX - value(j.c), j.arrived, id, j.c)).collect();
+        let mut waiting: Vec<_> = jobs.map(|(id, j)| (u64::MAX - value(j.c), u64::MAX - j.arrived.0, id, j.c)).collect();
         waiting.sort();
         let mut stuck = vec![0u32; self.set.classes.len()];
         for (_, _, id, c) in waiting {
