--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -23,7 +23,7 @@
 const FAILURES: u32 = 3; // transport failures running that eject
 const CAP_START: f64 = 16.0; // in-flight cap of a member at first,
 const CAP_FLOOR: f64 = 2.0; // at least,
-const CAP_LATE: f64 = 0.6; // cut when an answer takes this share of its aim
+const CAP_LATE: f64 = 0.5; // cut when an answer takes this share of its aim
 const CAP_CUT: f64 = 0.7; // by this factor, once a round trip
 const CROWDED: f64 = 0.45; // expected past this share of the aim: the member counts as at its cap
 const BLOCK: u32 = 25; // a class's own time is the mean of this many answers,
@@ -713,7 +713,8 @@
         let span = (group, RequestId(0))..=(group, RequestId(u64::MAX));
         let jobs = self.held.range(span).filter_map(|(_, id)| self.jobs.get(id).map(|j| (*id, j)));
         let value = |c: usize| (self.set.classes[c].worth / self.base[c] * 1e6) as u64;
-        let mut waiting: Vec<_> = jobs.map(|(id, j)| (u64::MAX - value(j.c), u64::MAX - j.arrived.0, id, j.c)).collect();
+        let mut waiting: Vec<_> =
+            jobs.map(|(id, j)| (u64::MAX - value(j.c), u64::MAX - j.arrived.0, id, j.c)).collect();
         waiting.sort();
         let mut stuck = vec![0u32; self.set.classes.len()];
         for (_, _, id, c) in waiting {
