--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -136,11 +136,8 @@
 impl Policy {
     /// A router that has just started and knows nothing.
     pub fn new(set: Settings, seed: u64) -> Policy {
-        let widest = set.classes.iter().map(|c| match c.consistency {
-            Consistency::Bounded(bound) => bound,
-            _ => MARGIN,
-        });
-        let margin = widest.max().unwrap_or(MARGIN).max(MARGIN);
+        let bound = |c: &Class| if let Consistency::Bounded(bound) = c.consistency { bound } else { MARGIN };
+        let margin = set.classes.iter().map(bound).max().unwrap_or(MARGIN).max(MARGIN);
         let base: Vec<f64> = set.classes.iter().map(|c| c.aim.secs() * 0.2).collect();
         Policy {
             set,
@@ -235,9 +232,7 @@
         let now = self.now;
         let Some(m) = self.members.get_mut(&id) else { return };
         if let Some(role) = s.role {
-            if m.role.is_none_or(|(_, at)| at <= as_of) {
-                m.role = Some((role, as_of));
-            }
+            m.role = m.role.filter(|(_, at)| *at > as_of).or(Some((role, as_of)));
         }
         let Some(p) = s.position.filter(|p| m.position.is_none_or(|(old, _)| *p >= old)) else { return };
         if now.since(m.anchor.1) >= PACE_OVER {
@@ -271,11 +266,8 @@
 
     /// The last known primary: the newest claim in the group.
     fn primary(&self, group: GroupId) -> Option<MemberId> {
-        let claims = self.in_group(group).filter_map(|(id, m)| match m.role {
-            Some((Role::Primary, at)) => Some((at, id)),
-            _ => None,
-        });
-        claims.max().map(|(_, id)| id)
+        let claim = |(id, m): (_, &Member)| m.role.filter(|r| r.0 == Role::Primary).map(|r| (r.1, id));
+        self.in_group(group).filter_map(claim).max().map(|(_, id)| id)
     }
 
     /// Share of its full capacity that a member has at least, by the rules' slowest warm-up.
@@ -334,13 +326,10 @@
         let warmth = self.warmth(m);
         let recent = m.sent.iter().filter(|s| self.now.since(s.0) < self.set.fall);
         let (count, work) = recent.fold((0, 0.0), |(n, w), s| (n + 1, w + s.1));
-        let shown = self
-            .members
-            .values()
-            .filter(|p| self.warmth(p) >= 1.0)
-            .map(|p| self.faded(p.rate, self.set.fall.secs()) / p.weight);
-        let allowed = shown.fold(0.0, f64::max) * m.weight * self.set.fall.secs();
-        let allowed = allowed * COLD_SHARE * self.set.fall_multiple * warmth;
+        let warm = self.members.values().filter(|p| self.warmth(p) >= 1.0);
+        let shown = warm.map(|p| self.faded(p.rate, self.set.fall.secs()) / p.weight);
+        let most = shown.fold(0.0, f64::max) * m.weight * self.set.fall.secs();
+        let allowed = most * COLD_SHARE * self.set.fall_multiple * warmth;
         warmth >= 1.0 || count < 2 || work + self.base[c] <= allowed
     }
 
@@ -389,17 +378,14 @@
 
     /// Whether the breaker lets a read to this member; lag ejects from reads that need freshness only.
     fn admits(&self, job: &Job, m: &Member) -> bool {
-        let fresh = match self.set.classes[job.c].consistency {
-            Consistency::Any => false,
-            Consistency::Session => job.floor > Time(0),
-            _ => true,
-        };
+        let needs = self.set.classes[job.c].consistency;
+        let fresh = needs != Consistency::Any && (needs != Consistency::Session || job.floor > Time(0));
         match m.breaker {
             Breaker::Closed => true,
             Breaker::Open(why, _) => why == Why::Lag && !fresh,
-            Breaker::HalfOpen(Why::Lag) if !fresh => true,
-            Breaker::HalfOpen(Why::Transport) => false,
-            Breaker::HalfOpen(_) => m.in_flight == 0,
+            Breaker::HalfOpen(why) => {
+                why != Why::Transport && (m.in_flight == 0 || (why == Why::Lag && !fresh))
+            }
         }
     }
 
@@ -530,7 +516,7 @@
         let late = self.now.plus(self.set.tick) >= self.useful_until(&job);
         let mut target = if late || self.starting(&job) { None } else { self.choose(&job) };
         let read = !matches!(self.set.classes[job.c].consistency, Consistency::Write | Consistency::Fresh);
-        let spilt = target.is_none_or(|t| self.primary(job.req.group) == Some(t));
+        let spilt = target.is_none() || self.primary(job.req.group) == target;
         if read && !late && spilt && self.set.probe_positions {
             self.ask(job.req.group, out);
             target = target.filter(|_| !self.asking(&job));
@@ -538,16 +524,15 @@
         let (group, worth_it) = (job.req.group, self.worth_holding(&job));
         self.jobs.insert(id, job);
         if let Some(member) = target {
-            self.held.remove(&(group, id));
             self.send(id, member, out);
             return true;
         }
-        if !worth_it {
+        if worth_it {
+            self.held.insert((group, id));
+        } else {
             self.give_up(id, out);
-            return true;
         }
-        self.held.insert((group, id));
-        false
+        !worth_it
     }
 
     /// A started router probes first and holds reads meanwhile.
@@ -579,6 +564,7 @@
 
     fn send(&mut self, id: RequestId, member: MemberId, out: &mut Vec<Action>) {
         let (Some(job), Some(m)) = (self.jobs.get_mut(&id), self.members.get_mut(&member)) else { return };
+        self.held.remove(&(job.req.group, id));
         let (now, base) = (self.now, self.base[job.c]);
         let limit = job.req.give_up.since(now.plus(self.set.tick)).max(self.set.tick);
         job.tries.push(Try { member, sent: self.now, status: None, cancelled: false });
@@ -627,8 +613,8 @@
         let (now, fall) = (self.now, self.set.fall.secs());
         let write = class.is_some_and(|c| self.set.classes[c].consistency == Consistency::Write);
         let Some(m) = self.members.get(&o.member) else { return };
-        let (wait, rate) = (self.wait(m), self.faded(m.rate, fall));
-        let errors = self.faded(m.errors, ERROR_FADE_S);
+        let (wait, rate, errors) =
+            (self.wait(m), self.faded(m.rate, fall), self.faded(m.errors, ERROR_FADE_S));
         let Some(m) = self.members.get_mut(&o.member) else { return };
         match o.status {
             Status::Ok | Status::Miss | Status::Full => {
@@ -779,10 +765,7 @@
         let turn = fit.min_by_key(|(id, m)| (tried(*id), m.scouted, m.position.map(|p| u64::MAX - p.0 .0)));
         let Some(member) = turn.map(|t| t.0) else { return };
         self.scout_at.insert(group, self.now.plus(SCOUT_EVERY));
-        if let Some(m) = self.members.get_mut(&member) {
-            m.scouted = self.now;
-        }
-        self.held.remove(&(group, id));
+        self.members.entry(member).and_modify(|m| m.scouted = self.now);
         self.send(id, member, out);
     }
 
