--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -22,7 +22,7 @@
                                        // Counts and shares.
 const FAILURES: u32 = 3; // transport failures running that eject
 const CAP_START: f64 = 16.0; // in-flight cap of a member at first,
-const CAP_FLOOR: f64 = 2.0; // at least,
+const CAP_FLOOR: f64 = 1.0; // at least,
 const CAP_LATE: f64 = 0.5; // cut when an answer takes this share of its aim
 const CAP_CUT: f64 = 0.7; // by this factor, once a round trip
 const CROWDED: f64 = 0.45; // expected past this share of the aim: the member counts as at its cap
