Leave pauses between single requests at members that many routers share

A cap may now fall to 0.2, and below one single requests go out with pauses of their own time over the cap. It also covers small members and slow fleets; it can harm a lone router at a member that is slow for a while, which then takes a few seconds to be fed again.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -22,7 +22,7 @@
                                        // Counts and shares.
 const FAILURES: u32 = 3; // transport failures running that eject
 const CAP_START: f64 = 16.0; // in-flight cap of a member at first,
-const CAP_FLOOR: f64 = 1.0; // at least,
+const CAP_FLOOR: f64 = 0.2; // at least (below one: pauses between single requests),
 const CAP_LATE: f64 = 0.5; // cut when an answer takes this share of its aim
 const CAP_CUT: f64 = 0.7; // by this factor, once a round trip
 const CROWDED: f64 = 0.45; // expected past this share of the aim: the member counts as at its cap
@@ -182,10 +182,9 @@
     // ---- What the list says ----
 
     fn list(&mut self, form: ListForm, entries: Vec<Entry>, out: &mut Vec<Action>) {
-        if form != ListForm::Delta {
+        if form != ListForm::Delta && !self.set.only_draining_binds {
             let named: BTreeSet<_> = entries.iter().map(|e| e.member).collect();
-            let binds = !self.set.only_draining_binds;
-            for (_, m) in self.members.iter_mut().filter(|(id, _)| binds && !named.contains(id)) {
+            for (_, m) in self.members.iter_mut().filter(|(id, _)| !named.contains(id)) {
                 m.draining = m.draining.or(Some(self.now));
             }
         }
@@ -287,6 +286,14 @@
         value * (-self.now.since(at).secs() / over_s).exp()
     }
 
+    /// Whether a member is below this share of its cap. Where many routers share one, a request of each is
+    /// too many: with a cap below one, single requests go out with pauses.
+    fn room(&self, job: &Job, m: &Member, share: f64) -> bool {
+        let last = m.sent.back().map_or(f64::MAX, |s| self.now.since(s.0).secs());
+        let paused = m.cap < 1.0 && last < self.base[job.c] / m.cap;
+        m.rest <= self.now && !paused && f64::from(m.in_flight) < (m.cap * share).max(1.0)
+    }
+
     /// Whether this request's answer is expected too late there.
     fn crowded(&self, job: &Job, m: &Member) -> bool {
         let (class, took) = (&self.set.classes[job.c], self.base[job.c] + self.wait(m));
@@ -408,9 +415,10 @@
             // Reads take their CPU from the log's apply thread: the further behind, the fewer at a time.
             let lag = self.estimate(m).map_or(0.0, |p| self.now.since(p).secs());
             let near = if needs == Consistency::Any { 1.0 } else { 1.0 - (lag / self.margin.secs()).powi(2) };
-            let room =
-                f64::from(m.in_flight) < (m.cap * self.warmth(m) * near).max(1.0) && m.rest <= self.now;
-            let fit = room && !tried && m.draining.is_none() && !self.crowded(job, m);
+            let fit = self.room(job, m, self.warmth(m) * near)
+                && !tried
+                && m.draining.is_none()
+                && !self.crowded(job, m);
             let passes = Some(*id) != primary && self.admits(job, m) && self.passes(job, *id, m, estimated);
             if !fit || !passes || !self.legal(job, *id) {
                 continue;
@@ -455,8 +463,8 @@
 
     /// Where reports carry positions, asks replicas with an aged one just in time.
     fn ask(&mut self, group: GroupId, out: &mut Vec<Action>) {
-        let (now, primary) = (self.now, self.primary(group));
-        let aged = |at: Time| now.since(at) > KNOWN_FRESH;
+        let primary = self.primary(group);
+        let aged = |at: Time| self.now.since(at) > KNOWN_FRESH;
         let old = |m: &Member| m.position.is_none_or(|(_, at)| aged(at)) && aged(m.asked);
         let members = self.in_group(group).filter(|(id, m)| Some(*id) != primary && old(m));
         let ids: Vec<MemberId> = members.map(|m| m.0).collect();
@@ -471,8 +479,7 @@
             Breaker::Open(why, _) => why == Why::Lag,
             Breaker::HalfOpen(why) => why == Why::Lag || (why == Why::Silent && m.in_flight == 0),
         };
-        let room = f64::from(m.in_flight) < m.cap.max(1.0) && m.rest <= self.now;
-        closed && room && self.legal(job, id)
+        closed && self.room(job, m, 1.0) && self.legal(job, id)
     }
 
     /// The primary as last resort. Its writes come first: a read spills only while they are expected well
@@ -633,8 +640,7 @@
         }
         match (o.status, class) {
             (Status::Full, _) => {
-                m.rest = now.plus(FULL_REST);
-                m.cap = (f64::from(m.in_flight) * CAP_CUT).max(CAP_FLOOR);
+                (m.rest, m.cap) = (now.plus(FULL_REST), (f64::from(m.in_flight) * CAP_CUT).max(CAP_FLOOR));
             }
             (Status::Miss, _) if write && m.role.is_none_or(|(_, at)| at < now) => {
                 m.role = Some((Role::Replica, now));
@@ -644,16 +650,13 @@
                 let shortest = self.base.iter().copied().fold(f64::MAX, f64::min);
                 let gain = WAIT_GAIN * (2.0 * shortest / self.base[c]).min(1.0);
                 m.wait = (wait + gain * (took - self.base[c] - wait), now);
-                if took > CAP_LATE * aim {
-                    if sent > m.cut {
-                        (m.cap, m.cut) = ((m.cap * CAP_CUT).max(CAP_FLOOR), now);
-                    }
-                } else if f64::from(m.in_flight) + 1.0 >= m.cap * 0.5 {
-                    m.cap += 1.0 / m.cap;
-                }
-                if o.status == Status::Ok {
-                    m.rate = (rate + self.base[c] / fall, now);
+                let late = took > CAP_LATE * aim;
+                if late && sent > m.cut {
+                    (m.cap, m.cut) = ((m.cap * CAP_CUT).max(CAP_FLOOR), now);
+                } else if !late && f64::from(m.in_flight) + 1.0 >= m.cap * 0.5 {
+                    m.cap += (1.0 / m.cap).min(0.3 * m.cap);
                 }
+                m.rate = (rate + if o.status == Status::Ok { self.base[c] / fall } else { 0.0 }, now);
                 let (n, sum) = &mut self.block[c];
                 (*n, *sum) = (*n + 1, *sum + took);
                 if *n >= BLOCK {
@@ -694,7 +697,7 @@
         self.pump(group, out);
     }
 
-    /// Tries what is held for a group: the most worth for its work first, then the newest, which can still be in time.
+    /// Tries what is held for a group: the most worth for its work first, then the newest (still in time).
     fn pump(&mut self, group: GroupId, out: &mut Vec<Action>) {
         let span = (group, RequestId(0))..=(group, RequestId(u64::MAX));
         let jobs = self.held.range(span).filter_map(|(_, id)| self.jobs.get(id).map(|j| (*id, j)));
@@ -719,11 +722,9 @@
             self.asked = now;
             out.push(Action::Fetch);
         }
-        let expired: Vec<RequestId> =
-            self.held.iter().map(|h| h.1).filter(|id| !self.worth_holding(&self.jobs[id])).collect();
-        for id in expired {
-            self.give_up(id, out);
-        }
+        let ids = self.held.iter().map(|h| h.1);
+        let expired: Vec<_> = ids.filter(|id| !self.worth_holding(&self.jobs[id])).collect();
+        expired.into_iter().for_each(|id| self.give_up(id, out));
         self.overdue(out);
         let ids: Vec<MemberId> = self.members.keys().copied().collect();
         for id in ids {
--- a/crates/policy/tests/failures.rs
+++ b/crates/policy/tests/failures.rs
@@ -371,3 +371,80 @@
     let id = b.ask(UNSAFE, 0);
     assert_eq!(b.went(id), Some(1), "the earlier list remains");
 }
+
+#[test]
+fn quick_errors_weigh_against_a_replica_and_do_not_shut_out_a_primary() {
+    // Found in an incident on jb-ffb-trips: quick errors ejected members, the primary among them.
+    let mut b = Bench::new(settings());
+    for _ in 0..12 {
+        let id = b.ask(UNSAFE, 0);
+        b.end(id, Status::Error, 3, 0, Role::Primary);
+        assert_eq!(b.tries[&id], vec![MemberId(1)], "nobody else can take it");
+    }
+    let mut to_flaky = 0;
+    for _ in 0..60 {
+        b.teach([10, 10]);
+        let id = b.ask(ANY, 0);
+        let flaky = b.went(id) == Some(2);
+        to_flaky += usize::from(flaky);
+        let (status, took) = if flaky { (Status::Error, 3) } else { (Status::Ok, 80) };
+        b.end(id, status, took, 10, Role::Replica);
+        if flaky && b.tries[&id].len() > 1 {
+            b.end(id, Status::Ok, 80, 10, Role::Replica);
+        }
+    }
+    assert!(to_flaky < 15, "{to_flaky} of 60 reads went first to a member that fails fast");
+}
+
+#[test]
+fn held_requests_are_released_newest_first() {
+    let mut b = Bench::new(settings());
+    let first = b.ask(KEYED, 0);
+    b.end(first, Status::ConnectFailed, 250, 0, Role::Primary);
+    let old = b.ask(KEYED, 0);
+    b.now = b.now.plus(Time::ms(5));
+    let new = b.ask(KEYED, 0);
+    assert!(b.went(old).is_none() && b.went(new).is_none());
+    b.report(1, b.now, Role::Primary);
+    let at = |id: RequestId| b.log.iter().position(|(_, a)| matches!(a, Action::Send(r, _, _) if *r == id));
+    assert!(at(new).is_some() && at(new) < at(old), "the newest can still be in time");
+}
+
+#[test]
+fn late_answers_leave_pauses_between_single_requests() {
+    // Found where nineteen routers share a member: one request of each is too many.
+    let mut b = Bench::new(settings());
+    for _ in 0..30 {
+        b.teach([10, 10]);
+        for _ in 0..2 {
+            let id = b.ask(ANY, 0);
+            if b.went(id).is_some() {
+                b.run(390);
+                b.end(id, Status::Ok, 390, 10, Role::Replica);
+            }
+        }
+    }
+    let from = b.now;
+    for _ in 0..20 {
+        b.teach([10, 10]);
+        let id = b.ask(ANY, 0);
+        if b.went(id).is_some() {
+            b.end(id, Status::Ok, 390, 10, Role::Replica);
+        }
+    }
+    let sent = sent_between(&b, from, 2) + sent_between(&b, from, 3);
+    assert!(sent <= 4, "{sent} requests went out at one moment");
+}
+
+#[test]
+fn a_replica_further_behind_gets_fewer_reads_at_a_time() {
+    let most = |behind: u64| {
+        let mut b = Bench::new(settings());
+        for _ in 0..20 {
+            b.teach([behind, behind]);
+            b.ask(BOUNDED, 0);
+        }
+        sent_between(&b, Time(0), 2) + sent_between(&b, Time(0), 3)
+    };
+    assert!(most(1900) < most(10), "{} against {}", most(1900), most(10));
+}
