Count marked repeats half and send them to uncrowded members only

Symptom: two to two and a half tries a request, everything slow, no entry in any log; the jam outlasts its cause. Cause: repeats of reads, which mostly come after the first try's aim, take the place of first tries. Told from lag (replicas fresh at the start) and from one bad member (all alike).

--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -324,6 +324,8 @@
     pub group: GroupId,
     /// How long ago its session's last write was committed.
     pub token: Option<Time>,
+    /// The client says that it is repeating.
+    pub repeat: bool,
 }
 
 /// How one attempt ended.
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -35,6 +35,7 @@
 const ERROR_FADE_S: f64 = 10.0; // and fades unheard
 const HOLD_TIMES: f64 = 1.2; // less than this many own times left: a held request is let go
 const SILENT_TIMES: f64 = 6.0; // an attempt out for this many own times is overdue
+const REPEAT_WORTH: f64 = 0.5; // worth of a marked repeat, at least, as a share of a first try's
 const LONG_TIMES: f64 = 4.0; // an any-read past this many times the shortest class's own time is long
 const ZONE_TIMES: f64 = 30.0; // bias against crossing zones, times its price
 const HEDGE_EARN: f64 = 0.05; // reads out at silent members go elsewhere, at most this many times a request,
@@ -101,6 +102,8 @@
     arrived: Time,
     /// Position that a session or fresh read needs.
     floor: Time,
+    /// What it is worth: a client's repeat mostly comes after the first try's aim.
+    worth: f64,
     tries: Vec<Try>,
 }
 
@@ -299,7 +302,7 @@
         let (class, took) = (&self.set.classes[job.c], self.base[job.c] + self.wait(m));
         let late =
             class.late_worth == 0.0 && took * HOLD_TIMES > self.useful_until(job).since(self.now).secs();
-        m.in_flight > 0 && (late || took > CROWDED * class.aim.secs())
+        m.in_flight > 0 && (late || took > CROWDED * class.aim.secs() * job.worth / class.worth)
     }
 
     // ---- The one place that every send and refusal passes ----
@@ -511,9 +514,10 @@
             _ => None,
         };
         let floor = floor.unwrap_or(Time(0));
+        let worth = class.worth * if req.repeat { class.late_worth.max(REPEAT_WORTH) } else { 1.0 };
         self.hedges = (self.hedges + HEDGE_EARN).min(HEDGE_MAX);
         let id = req.id;
-        self.jobs.insert(id, Job { req, c, arrived: self.now, floor, tries: Vec::new() });
+        self.jobs.insert(id, Job { req, c, arrived: self.now, floor, worth, tries: Vec::new() });
         self.place(id, out);
     }
 
@@ -701,9 +705,9 @@
     fn pump(&mut self, group: GroupId, out: &mut Vec<Action>) {
         let span = (group, RequestId(0))..=(group, RequestId(u64::MAX));
         let jobs = self.held.range(span).filter_map(|(_, id)| self.jobs.get(id).map(|j| (*id, j)));
-        let value = |c: usize| (self.set.classes[c].worth / self.base[c] * 1e6) as u64;
+        let value = |j: &Job| (j.worth / self.base[j.c] * 1e6) as u64;
         let mut waiting: Vec<_> =
-            jobs.map(|(id, j)| (u64::MAX - value(j.c), u64::MAX - j.arrived.0, id, j.c)).collect();
+            jobs.map(|(id, j)| (u64::MAX - value(j), u64::MAX - j.arrived.0, id, j.c)).collect();
         waiting.sort();
         let mut stuck = vec![0u32; self.set.classes.len()];
         for (_, _, id, c) in waiting {
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -150,6 +150,7 @@
             give_up: self.now.plus(Time::ms(if class == REPORT { 8000 } else { 1500 })),
             group: GroupId(0),
             token: (token_ms > 0).then(|| Time::ms(token_ms)),
+            repeat: false,
         }));
         id
     }
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -295,7 +295,8 @@
                 let came = self.now;
                 self.asked.insert(id, Asked { class, group, came, floor, give_up, tries, over: false });
                 let (tenant, session) = (TenantId(0), Some(SessionKey(9)));
-                let req = Request { id, class: class_id, tenant, session, give_up, group, token };
+                let repeat = n % 3 == 0;
+                let req = Request { id, class: class_id, tenant, session, give_up, group, token, repeat };
                 self.event(Event::Request(req));
             }
             Step::End { pick, status, behind, primary } => {
--- a/crates/sim/src/wire.rs
+++ b/crates/sim/src/wire.rs
@@ -129,7 +129,7 @@
             3 => {
                 let (id, class, tenant) = (RequestId(c.u64()?), ClassId(c.u16()?), TenantId(c.u16()?));
                 let (key, give_up, _effort) = (c.u64()?, Time(c.u64()?), c.u64()?);
-                let (group, token) = (GroupId(c.f32()? as u32), c.f32()?);
+                let (group, token, marks) = (GroupId(c.f32()? as u32), c.f32()?, c.u8()?);
                 Event::Request(Request {
                     id,
                     class,
@@ -138,6 +138,7 @@
                     give_up,
                     group,
                     token: (token > 0.0).then_some(Time((token * 1e6) as u64)),
+                    repeat: marks & 2 != 0,
                 })
             }
             4 => Event::Started(RequestId(c.u64()?), Attempt(c.u16()?)),
