Pace searches for a primary and trials by the number of routers

Symptom: at 0:30 connections fail, from 0:35 five attempts a request, nearly all turned away in a millisecond; five members that had just come back fell over cold. Cause: 18 routers searching for primaries and trying lagging members at a pace meant for a few; the list tells of the restarts only later. Change: both paces grow with the routers beyond four.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -36,6 +36,7 @@
 const HOLD_TIMES: f64 = 1.2; // less than this many own times left: a held request is let go
 const SILENT_TIMES: f64 = 6.0; // an attempt out for this many own times is overdue
 const REPEAT_WORTH: f64 = 0.5; // worth of a marked repeat, at least, as a share of a first try's
+const FEW_ROUTERS: f64 = 4.0; // more than these spread their searches and trials out
 const LONG_TIMES: f64 = 4.0; // an any-read past this many times the shortest class's own time is long
 const ZONE_TIMES: f64 = 30.0; // bias against crossing zones, times its price
 const HEDGE_EARN: f64 = 0.05; // reads out at silent members go elsewhere, at most this many times a request,
@@ -258,6 +259,11 @@
         self.members.iter().filter(move |(_, m)| m.group == group).map(|(id, m)| (*id, m))
     }
 
+    /// A pace that keeps all routers together to what a few would send.
+    fn shared(&self, pace: Time) -> Time {
+        pace.times((f64::from(self.set.routers) / FEW_ROUTERS).max(1.0))
+    }
+
     /// Where a member stands now by its last position and the pace it kept.
     fn estimate(&self, m: &Member) -> Option<Time> {
         m.position.map(|(p, at)| p.plus(self.now.since(at).times(m.pace)))
@@ -446,7 +452,7 @@
     fn trial(&self, job: &Job, primary: Option<MemberId>) -> Option<MemberId> {
         let refuses = self.set.when_behind == WhenBehind::Refuses;
         let fits = self.in_group(job.req.group).filter(|(id, m)| {
-            let aged = m.position.is_none_or(|(_, at)| self.now.since(at) > KNOWN_FRESH);
+            let aged = m.position.is_none_or(|(_, at)| self.now.since(at) > self.shared(KNOWN_FRESH));
             let well = !m.doubt && matches!(m.breaker, Breaker::Closed | Breaker::HalfOpen(Why::Lag));
             let idle = m.in_flight == 0 && m.draining.is_none() && m.rest <= self.now;
             refuses && Some(*id) != primary && aged && well && idle && self.legal(job, *id)
@@ -765,7 +771,7 @@
         let tried = |id| job.tries.iter().any(|t| t.member == id);
         let turn = fit.min_by_key(|(id, m)| (tried(*id), m.scouted, m.position.map(|p| u64::MAX - p.0 .0)));
         let Some(member) = turn.map(|t| t.0) else { return };
-        self.scout_at.insert(group, self.now.plus(SCOUT_EVERY));
+        self.scout_at.insert(group, self.now.plus(self.shared(SCOUT_EVERY)));
         self.members.entry(member).and_modify(|m| m.scouted = self.now);
         self.send(id, member, out);
     }
