--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -414,7 +414,7 @@
         let own = self.base[job.c];
         let long = needs == Consistency::Any
             && own > LONG_TIMES * self.base.iter().copied().fold(f64::MAX, f64::min);
-        let mut best: Option<(f64, MemberId)> = None;
+        let (mut some, mut best): (bool, Option<(f64, MemberId)>) = (false, None);
         for (id, m) in self.members.iter().filter(|(_, m)| m.group == job.req.group) {
             let tried = job.tries.iter().any(|t| t.member == *id && t.status != Some(Status::Full));
             // Reads take their CPU from the log's apply thread: the further behind, the fewer at a time.
@@ -425,6 +425,7 @@
                 && m.draining.is_none()
                 && !self.crowded(job, m);
             let passes = Some(*id) != primary && self.admits(job, m) && self.passes(job, *id, m, estimated);
+            some |= passes;
             if !fit || !passes || !self.legal(job, *id) {
                 continue;
             }
@@ -443,7 +444,7 @@
                 best = Some((cost, *id));
             }
         }
-        let best = best.map(|b| b.1).or_else(|| self.trial(job, primary));
+        let best = best.map(|b| b.1).or_else(|| self.trial(job, primary).filter(|_| !some));
         best.or_else(|| primary.filter(|id| !self.asking(job) && self.spills(job, *id)))
     }
 
