Count a member that comes back after failures running as cold

Now the last failure before a return counts as the start. Second chances only where two attempts may be out. Tests added for it, for the pace of searches and for trials.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -75,6 +75,7 @@
     breaker: Breaker,
     failures: u32,
     doubt: bool,
+    lost: Time,
     in_flight: u32,
     cap: f64,
     cut: Time,
@@ -90,11 +91,26 @@
     scouted: Time,
 }
 
+impl Member {
+    fn failed(&mut self, now: Time) {
+        (self.failures, self.doubt, self.lost) = (self.failures + 1, true, now);
+    }
+    /// One back after failures running has most likely restarted and is cold; the list tells later.
+    fn heard(&mut self, now: Time, proves: Why) {
+        self.started =
+            if self.failures < FAILURES { self.started } else { self.started.max(Some(self.lost)) };
+        (self.failures, self.doubt, self.refreshed) = (0, false, now);
+        let silent = proves == Why::Silent && matches!(self.breaker, Breaker::Open(Why::Silent, _));
+        if silent || self.breaker == Breaker::HalfOpen(proves) {
+            self.breaker = Breaker::Closed;
+        }
+    }
+}
+
 struct Try {
     member: MemberId,
     sent: Time,
     status: Option<Status>,
-    cancelled: bool,
 }
 
 struct Job {
@@ -161,10 +177,9 @@
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         self.now = now;
         if self.begun.is_none() {
-            self.begun = Some(now);
+            (self.begun, self.asked) = (Some(now), now);
             out.push(Action::Timer(SWEEP, 0));
             if self.set.list_on_request {
-                self.asked = now;
                 out.push(Action::Watch);
             }
         }
@@ -179,8 +194,6 @@
         }
     }
 
-    // ---- What the list says ----
-
     fn list(&mut self, form: ListForm, entries: Vec<Entry>, out: &mut Vec<Action>) {
         if form != ListForm::Delta && !self.set.only_draining_binds {
             let named: BTreeSet<_> = entries.iter().map(|e| e.member).collect();
@@ -192,9 +205,7 @@
             let fresh = || Member { weight: 1.0, pace: 1.0, cap: CAP_START, ..Member::default() };
             let m = self.members.entry(e.member).or_insert_with(fresh);
             (m.group, m.zone) = (e.group, e.zone);
-            if self.set.weights && e.weight > 0.0 {
-                m.weight = e.weight;
-            }
+            m.weight = if self.set.weights && e.weight > 0.0 { e.weight } else { 1.0 };
             if e.started > m.started {
                 (m.started, m.failures, m.draining) = (e.started, 0, None);
             }
@@ -225,8 +236,6 @@
         }
     }
 
-    // ---- What is known of members ----
-
     /// Notes a standing: positions never go back, and the newest evidence of a role wins.
     fn learn(&mut self, id: MemberId, s: Standing, as_of: Time) {
         let now = self.now;
@@ -292,8 +301,7 @@
         value * (-self.now.since(at).secs() / over_s).exp()
     }
 
-    /// Whether a member is below this share of its cap. Where many routers share one, a request of each is
-    /// too many: with a cap below one, single requests go out with pauses.
+    /// Whether a member is below this share of its cap; below one, single requests go out with pauses.
     fn room(&self, job: &Job, m: &Member, share: f64) -> bool {
         let last = m.sent.back().map_or(f64::MAX, |s| self.now.since(s.0).secs());
         let paused = m.cap < 1.0 && last < self.base[job.c] / m.cap;
@@ -356,7 +364,6 @@
         self.forget(id, out);
     }
 
-    /// Drops an ended request; attempts still out serve nobody now.
     fn forget(&mut self, id: RequestId, out: &mut Vec<Action>) {
         if let Some(job) = self.jobs.remove(&id) {
             self.held.remove(&(job.req.group, id));
@@ -503,8 +510,6 @@
         room && self.primary_takes(job, id)
     }
 
-    // ---- A request's way ----
-
     fn request(&mut self, req: Request, out: &mut Vec<Action>) {
         let c = usize::from(req.class.0);
         let Some(class) = self.set.classes.get(c) else { return out.push(Action::Fail(req.id)) };
@@ -554,7 +559,7 @@
         let write = self.set.classes[job.c].consistency == Consistency::Write;
         let early = self.begun.is_some_and(|at| self.now.since(at) < START_HOLD);
         let mut members = self.in_group(job.req.group);
-        early && !write && members.any(|(_, m)| m.probe.is_some() && m.refreshed == Time(0))
+        early && !write && members.any(|(_, m)| m.probe.is_some())
     }
 
     /// The time until which an answer still earns something.
@@ -581,7 +586,7 @@
         self.held.remove(&(job.req.group, id));
         let (now, base) = (self.now, self.base[job.c]);
         let limit = job.req.give_up.since(now.plus(self.set.tick)).max(self.set.tick);
-        job.tries.push(Try { member, sent: self.now, status: None, cancelled: false });
+        job.tries.push(Try { member, sent: self.now, status: None });
         m.in_flight += 1;
         m.sent.push_back((self.now, base));
         while m.sent.front().is_some_and(|s| self.now.since(s.0) > self.set.fall) {
@@ -632,12 +637,10 @@
         let Some(m) = self.members.get_mut(&o.member) else { return };
         match o.status {
             Status::Ok | Status::Miss | Status::Full => {
-                (m.failures, m.doubt, m.refreshed, m.answered) = (0, false, now, now);
-                if matches!(m.breaker, Breaker::HalfOpen(Why::Silent) | Breaker::Open(Why::Silent, _)) {
-                    m.breaker = Breaker::Closed;
-                }
+                m.heard(now, Why::Silent);
+                m.answered = now;
             }
-            Status::ConnectFailed | Status::Reset => (m.failures, m.doubt) = (m.failures + 1, true),
+            Status::ConnectFailed | Status::Reset => m.failed(now),
             Status::Timeout if m.answered < sent => m.failures += 1,
             _ => {}
         }
@@ -688,15 +691,12 @@
         m.probe = None;
         let group = m.group;
         if status == Status::Ok {
-            (m.refreshed, m.doubt) = (now, false);
-            if m.breaker == Breaker::HalfOpen(Why::Transport) {
-                (m.breaker, m.failures) = (Breaker::Closed, 0);
-            }
+            m.heard(now, Why::Transport);
             let aged = |times: u64| Time(now.0.saturating_sub(times * REPORT_AGE.0));
             self.learn(id, Standing { position: None, ..report }, aged(2));
             self.learn(id, Standing { role: None, ..report }, aged(1));
         } else {
-            (m.refreshed, m.failures, m.doubt) = (m.refreshed.max(Time(1)), m.failures + 1, true);
+            m.failed(now);
             if m.failures >= FAILURES || m.breaker == Breaker::HalfOpen(Why::Transport) {
                 m.breaker = Breaker::Open(Why::Transport, now.plus(COOLDOWN));
             }
@@ -720,8 +720,6 @@
         }
     }
 
-    // ---- Housekeeping ----
-
     fn sweep(&mut self, out: &mut Vec<Action>) {
         out.push(Action::Timer(SWEEP, 0));
         let now = self.now;
@@ -787,7 +785,7 @@
             let (class, base, age) = (&self.set.classes[job.c], self.base[job.c], now.since(t.sent));
             if m.answered < t.sent && age > SILENT_LEAST && age.secs() > SILENT_TIMES * base {
                 silent.insert(t.member);
-                let once = class.effect == Effect::Safe && job.out() == 1 && !t.cancelled;
+                let once = class.effect == Effect::Safe && job.out() == 1 && self.set.second_copies;
                 if once && now.secs() + base < self.useful_until(job).secs() {
                     again.push(*id);
                 }
@@ -800,19 +798,11 @@
             }
         }
         for id in again {
-            if self.hedges < 1.0 {
-                break;
-            }
-            let Some(mut job) = self.jobs.remove(&id) else { continue };
-            let target = if self.set.second_copies { self.choose(&job) } else { None };
-            let call_off = !self.set.second_copies && self.set.cancel && job.tries.len() < 3;
-            if let Some(last) = job.tries.len().checked_sub(1).filter(|_| call_off) {
-                job.tries[last].cancelled = true;
-                out.push(Action::Cancel(id, Attempt(last as u16)));
-            }
-            self.hedges -= if call_off || target.is_some() { 1.0 } else { 0.0 };
+            let Some(job) = self.jobs.remove(&id) else { continue };
+            let target = if self.hedges >= 1.0 { self.choose(&job) } else { None };
             self.jobs.insert(id, job);
             if let Some(member) = target {
+                self.hedges -= 1.0;
                 self.send(id, member, out);
             }
         }
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -90,6 +90,8 @@
     pub actions: Vec<Action>,
     /// Attempts made, by request.
     pub tries: BTreeMap<RequestId, Vec<MemberId>>,
+    /// Attempts that have ended, by request.
+    pub ended: BTreeMap<RequestId, usize>,
     /// All that was ever done, with its time.
     pub log: Vec<(Time, Action)>,
 }
@@ -109,7 +111,15 @@
     pub fn raw(set: Settings, list: Vec<Entry>) -> Bench {
         let policy = Policy::new(set, 7);
         let (tries, log) = (BTreeMap::new(), Vec::new());
-        let mut b = Bench { policy, now: Time::ms(100_000), next: 0, actions: Vec::new(), tries, log };
+        let mut b = Bench {
+            policy,
+            now: Time::ms(100_000),
+            next: 0,
+            actions: Vec::new(),
+            tries,
+            ended: BTreeMap::new(),
+            log,
+        };
         b.event(Event::List(ListForm::Cached, list));
         b
     }
@@ -168,6 +178,11 @@
         self.tries.get(&id).and_then(|t| t.last()).map(|m| m.0)
     }
 
+    /// Whether an attempt is out.
+    pub fn out(&self, id: RequestId) -> bool {
+        self.tries.get(&id).map_or(0, Vec::len) > self.ended.get(&id).copied().unwrap_or(0)
+    }
+
     pub fn refused(&self, id: RequestId) -> bool {
         self.log.iter().any(|(_, a)| matches!(a, Action::Refuse(r, _) if *r == id))
     }
@@ -179,6 +194,7 @@
     /// Ends the latest attempt of a request; the member says how far behind it is and its role.
     pub fn end(&mut self, id: RequestId, status: Status, took: u64, behind: u64, role: Role) {
         let n = self.tries[&id].len() - 1;
+        *self.ended.entry(id).or_default() += 1;
         let member = self.tries[&id][n];
         let answer = matches!(status, Status::Ok | Status::Miss | Status::Error | Status::Full);
         let position = Some(Time(self.now.0 - Time::ms(behind).0));
--- a/crates/policy/tests/failures.rs
+++ b/crates/policy/tests/failures.rs
@@ -187,10 +187,11 @@
     let from = b.now;
     for _ in 0..12 {
         b.teach([10, 10]);
-        let id = b.ask(BOUNDED, 0);
-        b.end(id, Status::Ok, 20, 10, Role::Replica);
+        b.ask(BOUNDED, 0);
     }
-    assert!(sent_between(&b, from, 2) > 0);
+    let (back, other) = (sent_between(&b, from, 2), sent_between(&b, from, 3));
+    assert!(back > 0, "readmitted");
+    assert!(back <= 2 && other > back, "but as one that has most likely restarted cold: {back} to {other}");
 }
 
 #[test]
@@ -468,3 +469,42 @@
     };
     assert!(sent(false) && !sent(true));
 }
+
+#[test]
+fn no_lagging_replica_is_tried_while_another_passes() {
+    let mut set = settings();
+    set.probe_positions = false;
+    let mut b = Bench::new(set);
+    b.teach([5000, 10]);
+    b.run(700);
+    for _ in 0..40 {
+        b.teach_one(3, 10);
+        b.ask(BOUNDED, 0);
+    }
+    assert_eq!(sent_between(&b, Time(0), 2), 0, "not even when the fresh one is at its cap");
+}
+
+#[test]
+fn many_routers_search_for_a_primary_at_a_slower_pace() {
+    // Found in an incident with 18 routers: their searches pushed over members that had just come back cold.
+    let tries = |routers: u32| {
+        let mut set = settings();
+        set.routers = routers;
+        let mut b = Bench::new(set);
+        for _ in 0..10 {
+            b.ask(KEYED, 0);
+        }
+        for n in 1..=10 {
+            b.end(RequestId(n), Status::Miss, 1, 10, Role::Replica);
+        }
+        b.now = b.now.plus(Time::ms(1));
+        let from = b.now;
+        for _ in 0..50 {
+            b.run(10);
+            let open: Vec<RequestId> = (1..=10).map(RequestId).filter(|id| b.out(*id)).collect();
+            open.into_iter().for_each(|id| b.end(id, Status::Miss, 1, 10, Role::Replica));
+        }
+        (1..=3).map(|m| sent_between(&b, from, m)).sum::<usize>()
+    };
+    assert!(tries(20) * 3 < tries(2), "{} against {}", tries(20), tries(2));
+}
