--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -658,7 +658,7 @@
             (Status::Ok | Status::Timeout, Some(c)) => {
                 let (took, aim) = (o.took.secs(), self.set.classes[c].aim.secs());
                 let shortest = self.base.iter().copied().fold(f64::MAX, f64::min);
-                let gain = WAIT_GAIN * (2.0 * shortest / self.base[c]).min(1.0);
+                let gain = WAIT_GAIN * (2.0 * shortest / self.base[c]).clamp(0.4, 1.0);
                 m.wait = (wait + gain * (took - self.base[c] - wait), now);
                 let late = took > CAP_LATE * aim;
                 if late && sent > m.cut {
