--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -501,7 +501,8 @@
         let Some(m) = self.members.get(&id) else { return false };
         let value = |c: usize| self.set.classes[c].worth / self.base[c];
         let best = (0..self.base.len()).map(value).fold(1e-9, f64::max);
-        let limit = SPILL_LEAST + SPILL_SPAN * value(job.c) / best;
+        let limit =
+            (SPILL_LEAST + SPILL_SPAN * value(job.c) / best) * job.worth / self.set.classes[job.c].worth;
         let classes = self.set.classes.iter().zip(&self.base);
         let writes = classes.filter(|(c, _)| c.consistency == Consistency::Write);
         let wait = self.wait(m);
