--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -37,10 +37,9 @@
 const SILENT_TIMES: f64 = 6.0; // an attempt out for this many own times is overdue
 const REPEAT_WORTH: f64 = 0.5; // worth of a marked repeat, at least, as a share of a first try's
 const FEW_ROUTERS: f64 = 4.0; // more than these spread their searches and trials out
+const PATIENCE_GAIN: f64 = 0.05; // how fast clients' stay follows those who leave early or stay longer
 const LONG_TIMES: f64 = 4.0; // an any-read past this many times the shortest class's own time is long
 const ZONE_TIMES: f64 = 30.0; // bias against crossing zones, times its price
-const HEDGE_EARN: f64 = 0.05; // reads out at silent members go elsewhere, at most this many times a request,
-const HEDGE_MAX: f64 = 10.0; // with this much saved up
 const SPILL_LEAST: f64 = 0.25; // a read spills while writes are expected within this share of their aim,
 const SPILL_SPAN: f64 = 0.35; // and this much more by its worth for its work
 const COLD_SHARE: f64 = 0.5; // part of the fall multiple used at a cold member
@@ -142,10 +141,10 @@
     held: BTreeSet<(GroupId, RequestId)>,
     base: Vec<f64>, // own time of each class, in seconds
     block: Vec<(u32, f64)>,
+    patience: Vec<f64>,
     margin: Time,
     scout_at: BTreeMap<GroupId, Time>,
     written: BTreeMap<SessionKey, Time>,
-    hedges: f64,
     asked: Time,
 }
 
@@ -154,7 +153,8 @@
     pub fn new(set: Settings, seed: u64) -> Policy {
         let bound = |c: &Class| if let Consistency::Bounded(bound) = c.consistency { bound } else { MARGIN };
         let margin = set.classes.iter().map(bound).max().unwrap_or(MARGIN).max(MARGIN);
-        let base: Vec<f64> = set.classes.iter().map(|c| c.aim.secs() * 0.2).collect();
+        let set_aims: Vec<f64> = set.classes.iter().map(|c| c.aim.secs()).collect();
+        let base: Vec<f64> = set_aims.iter().map(|aim| aim * 0.2).collect();
         Policy {
             set,
             now: Time(0),
@@ -164,11 +164,11 @@
             jobs: BTreeMap::new(),
             held: BTreeSet::new(),
             margin,
+            patience: set_aims,
             block: vec![(0, 0.0); base.len()],
             base,
             scout_at: BTreeMap::new(),
             written: BTreeMap::new(),
-            hedges: HEDGE_MAX,
             asked: Time(0),
         }
     }
@@ -188,7 +188,10 @@
             Event::List(form, entries) => self.list(form, entries, out),
             Event::Request(req) => self.request(req, out),
             Event::Outcome(o) => self.outcome(o, out),
-            Event::Lapsed(id) => self.forget(id, out),
+            Event::Lapsed(id) => {
+                self.patient(id, false);
+                self.forget(id, out);
+            }
             Event::Probed(m, status, _, report) => self.probed(m, status, report, out),
             Event::Timer(_) => self.sweep(out),
         }
@@ -308,12 +311,22 @@
         m.rest <= self.now && !paused && f64::from(m.in_flight) < (m.cap * share).max(1.0)
     }
 
+    /// Clients that leave before the aim teach how long they stay; those served later, that they stay longer.
+    fn patient(&mut self, id: RequestId, stayed: bool) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let (age, aim) = (self.now.since(job.arrived).secs(), self.set.classes[job.c].aim.secs());
+        let stay = &mut self.patience[job.c];
+        if (age > *stay) == stayed {
+            *stay = (*stay + PATIENCE_GAIN * (age - *stay)).min(aim);
+        }
+    }
+
     /// Whether this request's answer is expected too late there.
     fn crowded(&self, job: &Job, m: &Member) -> bool {
         let (class, took) = (&self.set.classes[job.c], self.base[job.c] + self.wait(m));
         let late =
             class.late_worth == 0.0 && took * HOLD_TIMES > self.useful_until(job).since(self.now).secs();
-        m.in_flight > 0 && (late || took > CROWDED * class.aim.secs() * job.worth / class.worth)
+        m.in_flight > 0 && (late || took > CROWDED * self.patience[job.c] * job.worth / class.worth)
     }
 
     // ---- The one place that every send and refusal passes ----
@@ -524,7 +537,6 @@
         };
         let floor = floor.unwrap_or(Time(0));
         let worth = class.worth * if req.repeat { class.late_worth.max(REPEAT_WORTH) } else { 1.0 };
-        self.hedges = (self.hedges + HEDGE_EARN).min(HEDGE_MAX);
         let id = req.id;
         self.jobs.insert(id, Job { req, c, arrived: self.now, floor, worth, tries: Vec::new() });
         self.place(id, out);
@@ -567,7 +579,8 @@
     fn useful_until(&self, job: &Job) -> Time {
         let class = &self.set.classes[job.c];
         let last = Time(job.req.give_up.0.saturating_sub(2 * self.set.tick.0));
-        let aim = Time(job.arrived.plus(class.aim).0.saturating_sub(self.set.tick.0));
+        let stay = Time((self.patience[job.c] * 1e9) as u64);
+        let aim = Time(job.arrived.plus(stay).0.saturating_sub(self.set.tick.0));
         last.min(if class.late_worth > 0.0 { last } else { aim })
     }
 
@@ -619,6 +632,7 @@
         }
         self.judge(&o, class, sent, out);
         if o.ended {
+            self.patient(o.request, true);
             self.forget(o.request, out);
         } else if self.jobs.contains_key(&o.request) {
             self.place(o.request, out);
@@ -731,7 +745,7 @@
         let ids = self.held.iter().map(|h| h.1);
         let expired: Vec<_> = ids.filter(|id| !self.worth_holding(&self.jobs[id])).collect();
         expired.into_iter().for_each(|id| self.give_up(id, out));
-        self.overdue(out);
+        self.overdue();
         let ids: Vec<MemberId> = self.members.keys().copied().collect();
         for id in ids {
             let Some(m) = self.members.get_mut(&id) else { continue };
@@ -776,36 +790,17 @@
         self.send(id, member, out);
     }
 
-    /// Attempts out for too long: the silent member is rested, and a safe read gets another chance elsewhere.
-    fn overdue(&mut self, out: &mut Vec<Action>) {
+    /// A member that has answered nothing since an attempt that is out for too long is rested.
+    fn overdue(&mut self) {
         let now = self.now;
-        let (mut silent, mut again) = (BTreeSet::new(), Vec::new());
-        for (id, job) in &self.jobs {
+        for job in self.jobs.values() {
             let Some(t) = job.tries.iter().rev().find(|t| t.status.is_none()) else { continue };
-            let Some(m) = self.members.get(&t.member) else { continue };
-            let (class, base, age) = (&self.set.classes[job.c], self.base[job.c], now.since(t.sent));
-            if m.answered < t.sent && age > SILENT_LEAST && age.secs() > SILENT_TIMES * base {
-                silent.insert(t.member);
-                let once = class.effect == Effect::Safe && job.out() == 1 && self.set.second_copies;
-                if once && now.secs() + base < self.useful_until(job).secs() {
-                    again.push(*id);
-                }
-            }
-        }
-        for id in silent {
-            let Some(m) = self.members.get_mut(&id) else { continue };
-            if !matches!(m.breaker, Breaker::Open(..)) {
+            let Some(m) = self.members.get_mut(&t.member) else { continue };
+            let age = now.since(t.sent);
+            let long = age > SILENT_LEAST && age.secs() > SILENT_TIMES * self.base[job.c];
+            if m.answered < t.sent && long && !matches!(m.breaker, Breaker::Open(..)) {
                 m.breaker = Breaker::Open(Why::Silent, now.plus(COOLDOWN));
             }
         }
-        for id in again {
-            let Some(job) = self.jobs.remove(&id) else { continue };
-            let target = if self.hedges >= 1.0 { self.choose(&job) } else { None };
-            self.jobs.insert(id, job);
-            if let Some(member) = target {
-                self.hedges -= 1.0;
-                self.send(id, member, out);
-            }
-        }
     }
 }
