--- a/crates/sim/tests/golden.rs
+++ b/crates/sim/tests/golden.rs
@@ -201,3 +201,23 @@
         assert!(err.starts_with("basalthill-sim: ") && !err.contains("panicked"), "{err}");
     }
 }
+
+#[test]
+fn a_killed_instance_may_start_anew_in_the_same_frame() {
+    let start = format!("01 00000003 0000000000000008 00000000 {:08x}", SETTINGS.len());
+    let ask =
+        "03 00000003 0000000000000009 0000 0000 0000000000000001 00000000ffffffff 0000000000000000 00000000
+         00000000 00";
+    let mut input = hello(SETTINGS);
+    input.extend(frame(
+        2,
+        &[ask, "0a 00000003", &start, "06 00000003 0000000000000009"],
+        SETTINGS.as_bytes(),
+    ));
+    let (out, err, ok) = adapter(&input);
+    assert!(ok, "{err}");
+    let first = reply(&[]);
+    assert!(out.starts_with(&first));
+    let codes: Vec<u8> = out[first.len() + 8..].chunks(32).map(|r| r[0]).collect();
+    assert_eq!(codes, [5], "what the killed one had done is dropped; the new one asks for its first timer");
+}
