--- a/crates/policy/tests/failures.rs
+++ b/crates/policy/tests/failures.rs
@@ -506,3 +506,52 @@
     b.run(200);
     assert!(b.refused(id), "let go about when clients leave, not near the aim");
 }
+
+#[test]
+fn a_list_without_roles_leaves_the_search_to_answers() {
+    let mut set = settings();
+    set.list_role = ListRole::None;
+    set.probe_roles = false;
+    let mut b = Bench::raw(set, vec![entry(1, 0, true), entry(2, 0, false), entry(3, 0, false)]);
+    let id = b.ask(KEYED, 0);
+    assert_eq!(b.went(id), None, "the list's word on roles counts for nothing here");
+    b.run(200);
+    assert!(b.went(id).is_some(), "members are tried in turn");
+}
+
+#[test]
+fn a_keyed_write_that_may_have_run_stays_in_its_zone_where_the_key_does() {
+    let mut set = settings();
+    set.classes[usize::from(KEYED.0)].scope = KeyScope::Zone;
+    let mut list = vec![entry(1, 0, true), entry(2, 0, false), entry(3, 0, false)];
+    list[1].zone = ZoneId(1);
+    list[2].zone = ZoneId(1);
+    let mut b = Bench::raw(set, list);
+    for m in 1..=3 {
+        b.report(m, b.now, if m == 1 { Role::Primary } else { Role::Replica });
+    }
+    let id = b.ask(KEYED, 0);
+    b.end(id, Status::Error, 20, 10, Role::Replica);
+    b.run(1400);
+    assert!(b.tries[&id].len() > 1, "its own member drops a repeat");
+    assert!(b.tries[&id].iter().all(|m| m.0 == 1), "the others, in another zone, do not");
+    assert!(!b.refused(id));
+}
+
+#[test]
+fn reads_keep_to_their_own_zone_where_crossing_has_a_price() {
+    let mut set = settings();
+    set.price_cross_zone = 0.05;
+    let mut b = Bench::new(set);
+    let mut far = entry(3, 0, false);
+    far.zone = ZoneId(1);
+    b.event(Event::List(ListForm::Delta, vec![far]));
+    let mut near = 0;
+    for _ in 0..40 {
+        b.teach([10, 10]);
+        let id = b.ask(BOUNDED, 0);
+        near += usize::from(b.went(id) == Some(2));
+        b.end(id, Status::Ok, 80, 10, Role::Replica);
+    }
+    assert!(near >= 32, "{near} of 40 stayed in the zone");
+}
