--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -2,10 +2,11 @@
 //! ids) is `api.rs`. `docs/design.md` says what is the design's and what is a departure from it.
 
 use crate::api::*;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 // Tuned values: times.
-const SWEEP: Time = Time::ms(10); // housekeeping: held requests, overdue attempts, probes
+const SWEEP: Time = Time::ms(10); // housekeeping while requests are held or members in doubt,
+const REST_SWEEP: Time = Time::ms(100); // and otherwise
 const PROBE_EVERY: Time = Time::ms(2000); // a member that no answer has refreshed for this long is probed
 const PROBE_DOUBT: Time = Time::ms(200); // and one in doubt after this
 const REPORT_AGE: Time = Time::ms(150); // a probe's position is taken to be this old, its role twice that
@@ -36,13 +37,15 @@
 const HOLD_TIMES: f64 = 1.2; // less than this many own times left: a held request is let go
 const SILENT_TIMES: f64 = 6.0; // an attempt out for this many own times is overdue
 const REPEAT_WORTH: f64 = 0.5; // worth of a marked repeat, at least, as a share of a first try's
+const PROBE_SHARE: f64 = 0.3; // probes that a request earns its router
 const FEW_ROUTERS: f64 = 4.0; // more than these spread their searches and trials out
-const PATIENCE_GAIN: f64 = 0.05; // how fast clients' stay follows those who leave early or stay longer
 const LONG_TIMES: f64 = 4.0; // an any-read past this many times the shortest class's own time is long
 const ZONE_TIMES: f64 = 30.0; // bias against crossing zones, times its price
 const SPILL_LEAST: f64 = 0.25; // a read spills while writes are expected within this share of their aim,
 const SPILL_SPAN: f64 = 0.35; // and this much more by its worth for its work
-const COLD_SHARE: f64 = 0.5; // part of the fall multiple used at a cold member
+const COLD_SHARE: f64 = 0.6; // part of the fall multiple used at a cold member
+const COLD_LEAST: f64 = 0.8; // work per second that it gets from all routers, if none has served anything
+const SERVED_OVER_S: f64 = 10.0; // memory of a router's own rate
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Why {
@@ -85,19 +88,24 @@
     probe: Option<Time>,
     asked: Time,
     refreshed: Time,
-    sent: VecDeque<(Time, f64)>,
-    rate: (f64, Time),
+    sent: Time,
+    dither: f64,
+    credit: (f64, Time), // work that it may still be sent while cold, and when that was counted
     scouted: Time,
 }
 
 impl Member {
+    fn restarted(&mut self, started: Option<Time>, now: Time) {
+        (self.started, self.credit) = (started, (-self.dither, now));
+    }
     fn failed(&mut self, now: Time) {
         (self.failures, self.doubt, self.lost) = (self.failures + 1, true, now);
     }
     /// One back after failures running has most likely restarted and is cold; the list tells later.
     fn heard(&mut self, now: Time, proves: Why) {
-        self.started =
-            if self.failures < FAILURES { self.started } else { self.started.max(Some(self.lost)) };
+        if self.failures >= FAILURES && self.started < Some(self.lost) {
+            self.restarted(Some(self.lost), now);
+        }
         (self.failures, self.doubt, self.refreshed) = (0, false, now);
         let silent = proves == Why::Silent && matches!(self.breaker, Breaker::Open(Why::Silent, _));
         if silent || self.breaker == Breaker::HalfOpen(proves) {
@@ -130,6 +138,12 @@
     }
 }
 
+/// A number from 0 to 1 of the seed's sequence.
+fn dice(random: &mut u64) -> f64 {
+    *random = random.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+    (*random >> 40) as f64 / (1u64 << 24) as f64
+}
+
 /// The decisions of one router.
 pub struct Policy {
     set: Settings,
@@ -141,11 +155,17 @@
     held: BTreeSet<(GroupId, RequestId)>,
     base: Vec<f64>, // own time of each class, in seconds
     block: Vec<(u32, f64)>,
-    patience: Vec<f64>,
+    usual: Vec<(Time, u32)>, // time left that most clients of each class come with, and its votes
     margin: Time,
     scout_at: BTreeMap<GroupId, Time>,
+    groups: BTreeMap<GroupId, Vec<MemberId>>,
+    probes: f64, // that may still be sent
+    next: Time,  // of the timer that counts
     written: BTreeMap<SessionKey, Time>,
     asked: Time,
+    served: (f64, Time), // work, fading
+    weight: f64,         // of all members listed
+    stood: Time,         // how long this router itself stood still before this round, beyond its sweeps
 }
 
 impl Policy {
@@ -153,8 +173,7 @@
     pub fn new(set: Settings, seed: u64) -> Policy {
         let bound = |c: &Class| if let Consistency::Bounded(bound) = c.consistency { bound } else { MARGIN };
         let margin = set.classes.iter().map(bound).max().unwrap_or(MARGIN).max(MARGIN);
-        let set_aims: Vec<f64> = set.classes.iter().map(|c| c.aim.secs()).collect();
-        let base: Vec<f64> = set_aims.iter().map(|aim| aim * 0.2).collect();
+        let base: Vec<f64> = set.classes.iter().map(|c| c.aim.secs() * 0.2).collect();
         Policy {
             set,
             now: Time(0),
@@ -164,21 +183,29 @@
             jobs: BTreeMap::new(),
             held: BTreeSet::new(),
             margin,
-            patience: set_aims,
+            usual: vec![(Time(0), 0); base.len()],
             block: vec![(0, 0.0); base.len()],
             base,
             scout_at: BTreeMap::new(),
+            groups: BTreeMap::new(),
+            probes: 0.0,
+            next: Time(u64::MAX),
             written: BTreeMap::new(),
             asked: Time(0),
+            served: (0.0, Time(0)),
+            weight: 1.0,
+            stood: Time(0),
         }
     }
 
     /// Takes one event; appends what is to be done.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        if now > self.now {
+            self.stood = now.since(self.now.max(self.begun.unwrap_or(now))).since(REST_SWEEP);
+        }
         self.now = now;
         if self.begun.is_none() {
             (self.begun, self.asked) = (Some(now), now);
-            out.push(Action::Timer(SWEEP, 0));
             if self.set.list_on_request {
                 out.push(Action::Watch);
             }
@@ -188,12 +215,18 @@
             Event::List(form, entries) => self.list(form, entries, out),
             Event::Request(req) => self.request(req, out),
             Event::Outcome(o) => self.outcome(o, out),
-            Event::Lapsed(id) => {
-                self.patient(id, false);
-                self.forget(id, out);
-            }
+            Event::Lapsed(id) => self.forget(id, out),
             Event::Probed(m, status, _, report) => self.probed(m, status, report, out),
-            Event::Timer(_) => self.sweep(out),
+            Event::Timer(_) if now < self.next => {}
+            Event::Timer(_) => {
+                self.next = Time(u64::MAX);
+                self.sweep(out);
+            }
+        }
+        let due = now.plus(if self.held.is_empty() { REST_SWEEP } else { SWEEP });
+        if due < self.next {
+            self.next = due;
+            out.push(Action::Timer(due.since(now), 0));
         }
     }
 
@@ -204,13 +237,16 @@
                 m.draining = m.draining.or(Some(self.now));
             }
         }
+        let shortest = self.base.iter().copied().fold(f64::MAX, f64::min);
         for e in entries {
-            let fresh = || Member { weight: 1.0, pace: 1.0, cap: CAP_START, ..Member::default() };
+            let dither = dice(&mut self.random) * shortest;
+            let fresh = || Member { weight: 1.0, pace: 1.0, cap: CAP_START, dither, ..Member::default() };
             let m = self.members.entry(e.member).or_insert_with(fresh);
             (m.group, m.zone) = (e.group, e.zone);
             m.weight = if self.set.weights && e.weight > 0.0 { e.weight } else { 1.0 };
             if e.started > m.started {
-                (m.started, m.failures, m.draining) = (e.started, 0, None);
+                (m.failures, m.draining) = (0, None);
+                m.restarted(e.started, self.now);
             }
             match e.listed {
                 Listed::Ready => m.draining = None,
@@ -224,16 +260,28 @@
             if e.primary && self.set.list_role != ListRole::None && !told {
                 m.role = Some((Role::Primary, as_of));
             }
-            if form == ListForm::Cached {
-                self.probe(e.member, out);
-            }
+        }
+        self.groups.clear();
+        for (id, m) in &self.members {
+            self.groups.entry(m.group).or_default().push(*id);
+        }
+        let there = self.members.values().filter(|m| m.draining.is_none());
+        self.weight = there.map(|m| m.weight).sum::<f64>().max(1.0);
+        if form == ListForm::Cached {
+            // All routers together look at each member a few times; a group's first requests earn the rest.
+            self.probes = self.members.len() as f64 / (f64::from(self.set.routers) / FEW_ROUTERS).max(1.0);
+            let mut ids: Vec<MemberId> = self.members.keys().copied().collect();
+            let first = (dice(&mut self.random) * ids.len() as f64) as usize;
+            ids.rotate_left(first);
+            ids.into_iter().for_each(|id| self.probe(id, out));
         }
     }
 
     fn probe(&mut self, id: MemberId, out: &mut Vec<Action>) {
         let Some(m) = self.members.get_mut(&id) else { return };
         let told = m.draining.is_some_and(|at| self.now.since(at) >= self.set.drain_grace);
-        if self.set.probes && m.probe.is_none() && !told {
+        if self.set.probes && m.probe.is_none() && !told && self.probes >= 1.0 {
+            self.probes -= 1.0;
             (m.probe, m.asked) = (Some(self.now), self.now);
             out.push(Action::Probe(id));
         }
@@ -268,7 +316,8 @@
     }
 
     fn in_group(&self, group: GroupId) -> impl Iterator<Item = (MemberId, &Member)> {
-        self.members.iter().filter(move |(_, m)| m.group == group).map(|(id, m)| (*id, m))
+        let ids = self.groups.get(&group).into_iter().flatten();
+        ids.filter_map(|id| self.members.get(id).map(|m| (*id, m)))
     }
 
     /// A pace that keeps all routers together to what a few would send.
@@ -306,27 +355,16 @@
 
     /// Whether a member is below this share of its cap; below one, single requests go out with pauses.
     fn room(&self, job: &Job, m: &Member, share: f64) -> bool {
-        let last = m.sent.back().map_or(f64::MAX, |s| self.now.since(s.0).secs());
-        let paused = m.cap < 1.0 && last < self.base[job.c] / m.cap;
+        let paused = m.cap < 1.0 && self.now.since(m.sent).secs() < self.base[job.c] / m.cap;
         m.rest <= self.now && !paused && f64::from(m.in_flight) < (m.cap * share).max(1.0)
     }
 
-    /// Clients that leave before the aim teach how long they stay; those served later, that they stay longer.
-    fn patient(&mut self, id: RequestId, stayed: bool) {
-        let Some(job) = self.jobs.get(&id) else { return };
-        let (age, aim) = (self.now.since(job.arrived).secs(), self.set.classes[job.c].aim.secs());
-        let stay = &mut self.patience[job.c];
-        if (age > *stay) == stayed {
-            *stay = (*stay + PATIENCE_GAIN * (age - *stay)).min(aim);
-        }
-    }
-
     /// Whether this request's answer is expected too late there.
     fn crowded(&self, job: &Job, m: &Member) -> bool {
         let (class, took) = (&self.set.classes[job.c], self.base[job.c] + self.wait(m));
         let late =
             class.late_worth == 0.0 && took * HOLD_TIMES > self.useful_until(job).since(self.now).secs();
-        m.in_flight > 0 && (late || took > CROWDED * self.patience[job.c] * job.worth / class.worth)
+        m.in_flight > 0 && (late || took > CROWDED * class.aim.secs() * job.worth / class.worth)
     }
 
     // ---- The one place that every send and refusal passes ----
@@ -350,20 +388,22 @@
             }
         }
         let stale = self.set.when_behind == WhenBehind::Answers && !self.passes(job, id, m, false);
-        !stale && self.cold_room(m, job.c)
+        !stale && (self.warmth(m) >= 1.0 || self.credit(m) >= 0.0)
+    }
+
+    /// Work per second that this router may send to a cold member: a share of the multiple, of its least warmth
+    /// and of this router's own mean rate at members. Rates add up, so all routers together keep to the rule
+    /// however many they are, and fleets where nothing is served yet get a trickle.
+    fn cold_rate(&self, m: &Member) -> f64 {
+        let own = self.faded(self.served, SERVED_OVER_S) / SERVED_OVER_S * m.weight / self.weight;
+        let least = COLD_LEAST / f64::from(self.set.routers).max(FEW_ROUTERS);
+        (own * COLD_SHARE * self.set.fall_multiple * self.warmth(m)).max(least)
     }
 
-    /// A cold member gets no more than its share of what its warm peers have shown they take, counted over
-    /// the window of the rule. Each router counts by its own traffic, so all together keep to the multiple.
-    fn cold_room(&self, m: &Member, c: usize) -> bool {
-        let warmth = self.warmth(m);
-        let recent = m.sent.iter().filter(|s| self.now.since(s.0) < self.set.fall);
-        let (count, work) = recent.fold((0, 0.0), |(n, w), s| (n + 1, w + s.1));
-        let warm = self.members.values().filter(|p| self.warmth(p) >= 1.0);
-        let shown = warm.map(|p| self.faded(p.rate, self.set.fall.secs()) / p.weight);
-        let most = shown.fold(0.0, f64::max) * m.weight * self.set.fall.secs();
-        let allowed = most * COLD_SHARE * self.set.fall_multiple * warmth;
-        warmth >= 1.0 || count < 2 || work + self.base[c] <= allowed
+    /// What a cold member may be sent by now; each router begins at another point of its first wait.
+    fn credit(&self, m: &Member) -> f64 {
+        let rate = self.cold_rate(m);
+        (m.credit.0 + rate * self.now.since(m.credit.1).secs()).min(rate * self.set.fall.secs())
     }
 
     /// Ends a request that has no attempt out: refused where that is harmless, else failed.
@@ -435,7 +475,8 @@
         let long = needs == Consistency::Any
             && own > LONG_TIMES * self.base.iter().copied().fold(f64::MAX, f64::min);
         let (mut some, mut best): (bool, Option<(f64, MemberId)>) = (false, None);
-        for (id, m) in self.members.iter().filter(|(_, m)| m.group == job.req.group) {
+        for id in self.groups.get(&job.req.group).into_iter().flatten() {
+            let Some(m) = self.members.get(id) else { continue };
             let tried = job.tries.iter().any(|t| t.member == *id && t.status != Some(Status::Full));
             // Reads take their CPU from the log's apply thread: the further behind, the fewer at a time.
             let lag = self.estimate(m).map_or(0.0, |p| self.now.since(p).secs());
@@ -449,8 +490,7 @@
             if !fit || !passes || !self.legal(job, *id) {
                 continue;
             }
-            self.random = self.random.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
-            let noise = (self.random >> 40) as f64 / (1u64 << 24) as f64;
+            let noise = dice(&mut self.random);
             // One that fails fast looks least loaded: its share of failures weighs against it.
             let sound = (1.0 - self.faded(m.errors, ERROR_FADE_S)).max(0.1);
             let slow = (1.0 + self.wait(m) / own).max(0.5) / (sound * sound);
@@ -536,9 +576,21 @@
             _ => None,
         };
         let floor = floor.unwrap_or(Time(0));
+        // Most clients of a class come with the same time left; one with less has waited meanwhile, for a router
+        // that stood still or through an earlier try, and its aim runs from then on. The majority is kept by vote.
+        let left = req.give_up.since(self.now);
+        let (usual, votes) = &mut self.usual[c];
+        let near = left.since(*usual).max(usual.since(left)) < self.set.tick.times(3.0);
+        match (near, *votes) {
+            (true, n) => *votes = n + 1,
+            (false, 0) => (*usual, *votes) = (left, 1),
+            (false, n) => *votes = n - 1,
+        }
+        let arrived = Time(self.now.0.saturating_sub(usual.since(left).0));
         let worth = class.worth * if req.repeat { class.late_worth.max(REPEAT_WORTH) } else { 1.0 };
         let id = req.id;
-        self.jobs.insert(id, Job { req, c, arrived: self.now, floor, worth, tries: Vec::new() });
+        self.probes = (self.probes + PROBE_SHARE).min(self.members.len() as f64);
+        self.jobs.insert(id, Job { req, c, arrived, floor, worth, tries: Vec::new() });
         self.place(id, out);
     }
 
@@ -579,8 +631,7 @@
     fn useful_until(&self, job: &Job) -> Time {
         let class = &self.set.classes[job.c];
         let last = Time(job.req.give_up.0.saturating_sub(2 * self.set.tick.0));
-        let stay = Time((self.patience[job.c] * 1e9) as u64);
-        let aim = Time(job.arrived.plus(stay).0.saturating_sub(self.set.tick.0));
+        let aim = Time(job.arrived.plus(class.aim).0.saturating_sub(self.set.tick.0));
         last.min(if class.late_worth > 0.0 { last } else { aim })
     }
 
@@ -596,16 +647,14 @@
     }
 
     fn send(&mut self, id: RequestId, member: MemberId, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let (now, base, group) = (self.now, self.base[job.c], job.req.group);
+        let credit = self.members.get(&member).map_or(0.0, |m| self.credit(m));
         let (Some(job), Some(m)) = (self.jobs.get_mut(&id), self.members.get_mut(&member)) else { return };
-        self.held.remove(&(job.req.group, id));
-        let (now, base) = (self.now, self.base[job.c]);
+        self.held.remove(&(group, id));
         let limit = job.req.give_up.since(now.plus(self.set.tick)).max(self.set.tick);
-        job.tries.push(Try { member, sent: self.now, status: None });
-        m.in_flight += 1;
-        m.sent.push_back((self.now, base));
-        while m.sent.front().is_some_and(|s| self.now.since(s.0) > self.set.fall) {
-            m.sent.pop_front();
-        }
+        job.tries.push(Try { member, sent: now, status: None });
+        (m.in_flight, m.sent, m.credit) = (m.in_flight + 1, now, (credit - base, now));
         out.push(Action::Send(id, member, Some(limit)));
     }
 
@@ -632,7 +681,6 @@
         }
         self.judge(&o, class, sent, out);
         if o.ended {
-            self.patient(o.request, true);
             self.forget(o.request, out);
         } else if self.jobs.contains_key(&o.request) {
             self.place(o.request, out);
@@ -644,11 +692,11 @@
 
     /// What an attempt's end says of its member.
     fn judge(&mut self, o: &Outcome, class: Option<usize>, sent: Time, out: &mut Vec<Action>) {
-        let (now, fall) = (self.now, self.set.fall.secs());
+        let now = self.now;
         let write = class.is_some_and(|c| self.set.classes[c].consistency == Consistency::Write);
         let Some(m) = self.members.get(&o.member) else { return };
-        let (wait, rate, errors) =
-            (self.wait(m), self.faded(m.rate, fall), self.faded(m.errors, ERROR_FADE_S));
+        let (wait, errors) = (self.wait(m), self.faded(m.errors, ERROR_FADE_S));
+        let served = self.faded(self.served, SERVED_OVER_S);
         let Some(m) = self.members.get_mut(&o.member) else { return };
         match o.status {
             Status::Ok | Status::Miss | Status::Full => {
@@ -670,7 +718,7 @@
             (Status::Miss, _) if write && m.role.is_none_or(|(_, at)| at < now) => {
                 m.role = Some((Role::Replica, now));
             }
-            (Status::Ok | Status::Timeout, Some(c)) => {
+            (Status::Ok | Status::Timeout, Some(c)) if self.stood == Time(0) => {
                 let (took, aim) = (o.took.secs(), self.set.classes[c].aim.secs());
                 let shortest = self.base.iter().copied().fold(f64::MAX, f64::min);
                 let gain = WAIT_GAIN * (2.0 * shortest / self.base[c]).clamp(0.4, 1.0);
@@ -681,7 +729,7 @@
                 } else if !late && f64::from(m.in_flight) + 1.0 >= m.cap * 0.5 {
                     m.cap += (1.0 / m.cap).min(0.3 * m.cap);
                 }
-                m.rate = (rate + if o.status == Status::Ok { self.base[c] / fall } else { 0.0 }, now);
+                self.served = (served + if o.status == Status::Ok { self.base[c] } else { 0.0 }, now);
                 let (n, sum) = &mut self.block[c];
                 (*n, *sum) = (*n + 1, *sum + took);
                 if *n >= BLOCK {
@@ -736,7 +784,6 @@
     }
 
     fn sweep(&mut self, out: &mut Vec<Action>) {
-        out.push(Action::Timer(SWEEP, 0));
         let now = self.now;
         if self.set.list_on_request && now.since(self.asked).0 > self.set.ask_every.0 / 2 {
             self.asked = now;
@@ -745,22 +792,25 @@
         let ids = self.held.iter().map(|h| h.1);
         let expired: Vec<_> = ids.filter(|id| !self.worth_holding(&self.jobs[id])).collect();
         expired.into_iter().for_each(|id| self.give_up(id, out));
-        self.overdue();
-        let ids: Vec<MemberId> = self.members.keys().copied().collect();
-        for id in ids {
-            let Some(m) = self.members.get_mut(&id) else { continue };
-            let due = if m.doubt { PROBE_DOUBT } else { PROBE_EVERY };
+        if self.stood == Time(0) {
+            self.overdue(); // after a standstill, answers may still lie in the same round
+        }
+        // Those in doubt come first, then the one that has gone unheard for longest.
+        let (mut ask, mut oldest) = (Vec::new(), None);
+        for (id, m) in &mut self.members {
+            let unheard = now.since(m.refreshed.max(m.asked));
             match m.breaker {
-                Breaker::Open(why, until) if now >= until => {
-                    m.breaker = Breaker::HalfOpen(why);
-                    if why != Why::Silent {
-                        self.probe(id, out);
-                    }
-                }
-                Breaker::Closed if now.since(m.refreshed.max(m.asked)) >= due => self.probe(id, out),
-                _ => {}
+                Breaker::Open(why, until) if now >= until => m.breaker = Breaker::HalfOpen(why),
+                Breaker::Open(..) | Breaker::HalfOpen(Why::Silent) => {}
+                Breaker::HalfOpen(Why::Lag) if !self.set.probe_positions => {}
+                Breaker::HalfOpen(_) if unheard >= PROBE_DOUBT => ask.push(*id),
+                Breaker::Closed if m.doubt && unheard >= PROBE_DOUBT => ask.push(*id),
+                Breaker::HalfOpen(_) => {}
+                Breaker::Closed => oldest = oldest.max(Some((unheard, *id))),
             }
         }
+        ask.extend(oldest.filter(|o| o.0 >= PROBE_EVERY).map(|o| o.1));
+        ask.into_iter().for_each(|id| self.probe(id, out));
         let groups: BTreeSet<GroupId> = self.held.iter().map(|h| h.0).collect();
         for group in groups {
             self.scout(group, out);
