--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -649,10 +649,11 @@
     fn send(&mut self, id: RequestId, member: MemberId, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id) else { return };
         let (now, base, group) = (self.now, self.base[job.c], job.req.group);
+        let until = self.useful_until(job);
         let credit = self.members.get(&member).map_or(0.0, |m| self.credit(m));
         let (Some(job), Some(m)) = (self.jobs.get_mut(&id), self.members.get_mut(&member)) else { return };
         self.held.remove(&(group, id));
-        let limit = job.req.give_up.since(now.plus(self.set.tick)).max(self.set.tick);
+        let limit = until.since(now).max(self.set.tick);
         job.tries.push(Try { member, sent: now, status: None });
         (m.in_flight, m.sent, m.credit) = (m.in_flight + 1, now, (credit - base, now));
         out.push(Action::Send(id, member, Some(limit)));
