Let members unheard for a while count with the mean wait of their role

A member's wait now fades into what this router saw at all members of its role. Could harm where one primary alone is slow: others are spared for a few seconds too.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -32,6 +32,7 @@
 const BASE_UP: f64 = 0.05; // and up slowly: what an uncrowded member takes
 const WAIT_GAIN: f64 = 0.15; // how fast a member's wait beyond its classes' own times follows answers
 const WAIT_FADE_S: f64 = 2.0; // and fades unheard
+const WAITS_FADE_S: f64 = 4.0; // and the mean over members of a role
 const ERROR_GAIN: f64 = 0.2; // how fast a member's share of failures follows
 const ERROR_FADE_S: f64 = 10.0; // and fades unheard
 const HOLD_TIMES: f64 = 1.2; // less than this many own times left: a held request is let go
@@ -95,6 +96,10 @@
 }
 
 impl Member {
+    /// 1 for a primary, else 0.
+    fn leads(&self) -> usize {
+        usize::from(self.role.is_some_and(|r| r.0 == Role::Primary))
+    }
     fn restarted(&mut self, started: Option<Time>, now: Time) {
         (self.started, self.credit) = (started, (-self.dither, now));
     }
@@ -163,9 +168,10 @@
     next: Time,  // of the timer that counts
     written: BTreeMap<SessionKey, Time>,
     asked: Time,
-    served: (f64, Time), // work, fading
-    weight: f64,         // of all members listed
-    stood: Time,         // how long this router itself stood still before this round, beyond its sweeps
+    served: (f64, Time),     // work, fading
+    waits: [(f64, Time); 2], // mean wait at replicas and at primaries
+    weight: f64,             // of all members listed
+    stood: Time,             // how long this router itself stood still before this round, beyond its sweeps
 }
 
 impl Policy {
@@ -193,6 +199,7 @@
             written: BTreeMap::new(),
             asked: Time(0),
             served: (0.0, Time(0)),
+            waits: [(0.0, Time(0)); 2],
             weight: 1.0,
             stood: Time(0),
         }
@@ -343,9 +350,11 @@
         (self.set.cold_from + (1.0 - self.set.cold_from) * part).min(1.0)
     }
 
-    /// How long answers take at a member beyond their class's own time, faded by age, in seconds.
+    /// How long answers take at a member beyond their class's own time, in seconds: what it showed lately, and
+    /// the less lately the more what members of its role show this router.
     fn wait(&self, m: &Member) -> f64 {
-        self.faded(m.wait, WAIT_FADE_S)
+        let known = self.faded((1.0, m.wait.1), WAIT_FADE_S);
+        m.wait.0 * known + self.faded(self.waits[m.leads()], WAITS_FADE_S) * (1.0 - known)
     }
 
     /// A figure that fades from when it was last renewed.
@@ -649,11 +658,10 @@
     fn send(&mut self, id: RequestId, member: MemberId, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id) else { return };
         let (now, base, group) = (self.now, self.base[job.c], job.req.group);
-        let until = self.useful_until(job);
         let credit = self.members.get(&member).map_or(0.0, |m| self.credit(m));
         let (Some(job), Some(m)) = (self.jobs.get_mut(&id), self.members.get_mut(&member)) else { return };
         self.held.remove(&(group, id));
-        let limit = until.since(now).max(self.set.tick);
+        let limit = job.req.give_up.since(now.plus(self.set.tick)).max(self.set.tick);
         job.tries.push(Try { member, sent: now, status: None });
         (m.in_flight, m.sent, m.credit) = (m.in_flight + 1, now, (credit - base, now));
         out.push(Action::Send(id, member, Some(limit)));
@@ -698,6 +706,7 @@
         let Some(m) = self.members.get(&o.member) else { return };
         let (wait, errors) = (self.wait(m), self.faded(m.errors, ERROR_FADE_S));
         let served = self.faded(self.served, SERVED_OVER_S);
+        let waits = self.waits.map(|w| self.faded(w, WAITS_FADE_S));
         let Some(m) = self.members.get_mut(&o.member) else { return };
         match o.status {
             Status::Ok | Status::Miss | Status::Full => {
@@ -724,6 +733,8 @@
                 let shortest = self.base.iter().copied().fold(f64::MAX, f64::min);
                 let gain = WAIT_GAIN * (2.0 * shortest / self.base[c]).clamp(0.4, 1.0);
                 m.wait = (wait + gain * (took - self.base[c] - wait), now);
+                let (all, leads) = (&mut self.waits, m.leads());
+                all[leads] = (waits[leads] + gain * (took - self.base[c] - waits[leads]), now);
                 let late = took > CAP_LATE * aim;
                 if late && sent > m.cut {
                     (m.cap, m.cut) = ((m.cap * CAP_CUT).max(CAP_FLOOR), now);
