--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -121,9 +121,10 @@
 }
 
 /// What a member does with a read that it is too far behind for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum WhenBehind {
     /// It answers from what it holds.
+    #[default]
     Answers,
     /// It misses at once.
     Refuses,
@@ -132,27 +133,29 @@
 }
 
 /// How the list of members tells the primary.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ListRole {
     /// Kept up, some seconds late.
     Late,
     /// As it was at the start only.
     Start,
     /// Never.
+    #[default]
     None,
 }
 
 /// How a session read's floor is known.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Tokens {
     /// The read says how long ago its session last wrote.
+    #[default]
     Carried,
     /// The router remembers the writes it has answered.
     Remembered,
 }
 
 /// What a router is told when it starts.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Settings {
     /// This router.
     pub me: RouterId,
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -104,7 +104,15 @@
         (self.started, self.credit) = (started, (-self.dither, now));
     }
     fn failed(&mut self, now: Time) {
-        (self.failures, self.doubt, self.lost) = (self.failures + 1, true, now);
+        (self.doubt, self.lost) = (true, now);
+        self.missed(now);
+    }
+    fn missed(&mut self, now: Time) {
+        self.failures += 1;
+        let open = matches!(self.breaker, Breaker::Open(Why::Transport, _));
+        if (self.failures >= FAILURES && !open) || self.breaker == Breaker::HalfOpen(Why::Transport) {
+            self.breaker = Breaker::Open(Why::Transport, now.plus(COOLDOWN));
+        }
     }
     /// One back after failures running has most likely restarted and is cold; the list tells later.
     fn heard(&mut self, now: Time, proves: Why) {
@@ -150,6 +158,7 @@
 }
 
 /// The decisions of one router.
+#[derive(Default)]
 pub struct Policy {
     set: Settings,
     now: Time,
@@ -180,35 +189,17 @@
         let bound = |c: &Class| if let Consistency::Bounded(bound) = c.consistency { bound } else { MARGIN };
         let margin = set.classes.iter().map(bound).max().unwrap_or(MARGIN).max(MARGIN);
         let base: Vec<f64> = set.classes.iter().map(|c| c.aim.secs() * 0.2).collect();
-        Policy {
-            set,
-            now: Time(0),
-            random: seed,
-            begun: None,
-            members: BTreeMap::new(),
-            jobs: BTreeMap::new(),
-            held: BTreeSet::new(),
-            margin,
-            usual: vec![(Time(0), 0); base.len()],
-            block: vec![(0, 0.0); base.len()],
-            base,
-            scout_at: BTreeMap::new(),
-            groups: BTreeMap::new(),
-            probes: 0.0,
-            next: Time(u64::MAX),
-            written: BTreeMap::new(),
-            asked: Time(0),
-            served: (0.0, Time(0)),
-            waits: [(0.0, Time(0)); 2],
-            weight: 1.0,
-            stood: Time(0),
-        }
+        let (block, usual) = (vec![(0, 0.0); base.len()], vec![(Time(0), 0); base.len()]);
+        let (next, weight) = (Time(u64::MAX), 1.0);
+        Policy { set, random: seed, margin, base, block, usual, next, weight, ..Policy::default() }
     }
 
     /// Takes one event; appends what is to be done.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         if now > self.now {
-            self.stood = now.since(self.now.max(self.begun.unwrap_or(now))).since(REST_SWEEP);
+            let gap = now.since(self.now.max(self.begun.unwrap_or(now)));
+            self.stood = gap.since(REST_SWEEP);
+            self.earn(gap.secs() / PROBE_EVERY.secs() * self.few() * self.members.len() as f64);
         }
         self.now = now;
         if self.begun.is_none() {
@@ -275,8 +266,7 @@
         let there = self.members.values().filter(|m| m.draining.is_none());
         self.weight = there.map(|m| m.weight).sum::<f64>().max(1.0);
         if form == ListForm::Cached {
-            // All routers together look at each member a few times; a group's first requests earn the rest.
-            self.probes = self.members.len() as f64 / (f64::from(self.set.routers) / FEW_ROUTERS).max(1.0);
+            self.earn(self.members.len() as f64 * self.few());
             let mut ids: Vec<MemberId> = self.members.keys().copied().collect();
             let first = (dice(&mut self.random) * ids.len() as f64) as usize;
             ids.rotate_left(first);
@@ -327,9 +317,14 @@
         ids.filter_map(|id| self.members.get(id).map(|m| (*id, m)))
     }
 
-    /// A pace that keeps all routers together to what a few would send.
-    fn shared(&self, pace: Time) -> Time {
-        pace.times((f64::from(self.set.routers) / FEW_ROUTERS).max(1.0))
+    /// Part of what one of a few routers would do alone, so that all together do no more.
+    fn few(&self) -> f64 {
+        (FEW_ROUTERS / f64::from(self.set.routers)).min(1.0)
+    }
+
+    /// Probes are earned: all routers together one of each member an interval, and a few for their requests.
+    fn earn(&mut self, probes: f64) {
+        self.probes = (self.probes + probes).min(self.members.len() as f64);
     }
 
     /// Where a member stands now by its last position and the pace it kept.
@@ -522,7 +517,8 @@
     fn trial(&self, job: &Job, primary: Option<MemberId>) -> Option<MemberId> {
         let refuses = self.set.when_behind == WhenBehind::Refuses;
         let fits = self.in_group(job.req.group).filter(|(id, m)| {
-            let aged = m.position.is_none_or(|(_, at)| self.now.since(at) > self.shared(KNOWN_FRESH));
+            let aged =
+                m.position.is_none_or(|(_, at)| self.now.since(at) > KNOWN_FRESH.times(1.0 / self.few()));
             let well = !m.doubt && matches!(m.breaker, Breaker::Closed | Breaker::HalfOpen(Why::Lag));
             let idle = m.in_flight == 0 && m.draining.is_none() && m.rest <= self.now;
             refuses && Some(*id) != primary && aged && well && idle && self.legal(job, *id)
@@ -598,7 +594,7 @@
         let arrived = Time(self.now.0.saturating_sub(usual.since(left).0));
         let worth = class.worth * if req.repeat { class.late_worth.max(REPEAT_WORTH) } else { 1.0 };
         let id = req.id;
-        self.probes = (self.probes + PROBE_SHARE).min(self.members.len() as f64);
+        self.earn(PROBE_SHARE);
         self.jobs.insert(id, Job { req, c, arrived, floor, worth, tries: Vec::new() });
         self.place(id, out);
     }
@@ -714,7 +710,7 @@
                 m.answered = now;
             }
             Status::ConnectFailed | Status::Reset => m.failed(now),
-            Status::Timeout if m.answered < sent => m.failures += 1,
+            Status::Timeout if m.answered < sent => m.missed(now),
             _ => {}
         }
         if matches!(o.status, Status::Ok | Status::Error | Status::ConnectFailed | Status::Reset) {
@@ -753,9 +749,7 @@
             }
             _ => {}
         }
-        if m.failures >= FAILURES && !matches!(m.breaker, Breaker::Open(Why::Transport, _)) {
-            m.breaker = Breaker::Open(Why::Transport, now.plus(COOLDOWN));
-        } else if m.doubt {
+        if m.doubt && !matches!(m.breaker, Breaker::Open(Why::Transport, _)) {
             self.probe(o.member, out);
         }
     }
@@ -772,9 +766,6 @@
             self.learn(id, Standing { role: None, ..report }, aged(1));
         } else {
             m.failed(now);
-            if m.failures >= FAILURES || m.breaker == Breaker::HalfOpen(Why::Transport) {
-                m.breaker = Breaker::Open(Why::Transport, now.plus(COOLDOWN));
-            }
         }
         self.pump(group, out);
     }
@@ -847,7 +838,7 @@
         let tried = |id| job.tries.iter().any(|t| t.member == id);
         let turn = fit.min_by_key(|(id, m)| (tried(*id), m.scouted, m.position.map(|p| u64::MAX - p.0 .0)));
         let Some(member) = turn.map(|t| t.0) else { return };
-        self.scout_at.insert(group, self.now.plus(self.shared(SCOUT_EVERY)));
+        self.scout_at.insert(group, self.now.plus(SCOUT_EVERY));
         self.members.entry(member).and_modify(|m| m.scouted = self.now);
         self.send(id, member, out);
     }
