Give cold members budgets from a long memory of the router's own rate

The rate is now remembered for a minute. What stays: members fall over before the list tells routers of their return.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -44,9 +44,9 @@
 const ZONE_TIMES: f64 = 30.0; // bias against crossing zones, times its price
 const SPILL_LEAST: f64 = 0.25; // a read spills while writes are expected within this share of their aim,
 const SPILL_SPAN: f64 = 0.35; // and this much more by its worth for its work
-const COLD_SHARE: f64 = 0.6; // part of the fall multiple used at a cold member
+const COLD_SHARE: f64 = 0.7; // part of the fall multiple used at a cold member
 const COLD_LEAST: f64 = 0.8; // work per second that it gets from all routers, if none has served anything
-const SERVED_OVER_S: f64 = 10.0; // memory of a router's own rate
+const SERVED_OVER_S: f64 = 60.0; // memory of a router's own rate: long, or a jam would starve the cold further
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Why {
@@ -399,7 +399,9 @@
     /// and of this router's own mean rate at members. Rates add up, so all routers together keep to the rule
     /// however many they are, and fleets where nothing is served yet get a trickle.
     fn cold_rate(&self, m: &Member) -> f64 {
-        let own = self.faded(self.served, SERVED_OVER_S) / SERVED_OVER_S * m.weight / self.weight;
+        let age = self.now.since(self.begun.unwrap_or(self.now)).secs().max(MARGIN.secs());
+        let over = SERVED_OVER_S * (1.0 - (-age / SERVED_OVER_S).exp());
+        let own = self.faded(self.served, SERVED_OVER_S) / over * m.weight / self.weight;
         let least = COLD_LEAST / f64::from(self.set.routers).max(FEW_ROUTERS);
         (own * COLD_SHARE * self.set.fall_multiple * self.warmth(m)).max(least)
     }
