Carry positions at the clock's pace; drop the learnt pace

To make room: the pace a position kept was learnt from two answers 300 ms apart, which sparse routers never have.

--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -13,6 +13,10 @@
     pub const fn plus(self, span: Time) -> Time {
         Time(self.0.saturating_add(span.0))
     }
+    /// The earlier time by a span, zero at least.
+    pub const fn minus(self, span: Time) -> Time {
+        Time(self.0.saturating_sub(span.0))
+    }
     /// The span since `earlier`, zero if that is not earlier.
     pub const fn since(self, earlier: Time) -> Time {
         Time(self.0.saturating_sub(earlier.0))
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -19,8 +19,7 @@
 const FULL_REST: Time = Time::ms(100); // a full member is left alone for this
 const SCOUT_EVERY: Time = Time::ms(40); // pace of the search for a primary
 const START_HOLD: Time = Time::ms(250); // a started router holds reads for its probes no longer
-const PACE_OVER: Time = Time::ms(300); // spacing of the samples that tell how fast a position moves
-                                       // Counts and shares.
+                                        // Counts and shares.
 const FAILURES: u32 = 3; // transport failures running that eject
 const CAP_START: f64 = 16.0; // in-flight cap of a member at first,
 const CAP_FLOOR: f64 = 0.2; // at least (below one: pauses between single requests),
@@ -72,8 +71,6 @@
     draining: Option<Time>,
     started: Option<Time>,
     position: Option<(Time, Time)>,
-    anchor: (Time, Time),
-    pace: f64,
     role: Option<(Role, Time)>,
     breaker: Breaker,
     failures: u32,
@@ -238,7 +235,7 @@
         let shortest = self.base.iter().copied().fold(f64::MAX, f64::min);
         for e in entries {
             let dither = dice(&mut self.random) * shortest;
-            let fresh = || Member { weight: 1.0, pace: 1.0, cap: CAP_START, dither, ..Member::default() };
+            let fresh = || Member { weight: 1.0, cap: CAP_START, dither, ..Member::default() };
             let m = self.members.entry(e.member).or_insert_with(fresh);
             (m.group, m.zone) = (e.group, e.zone);
             m.weight = if self.set.weights && e.weight > 0.0 { e.weight } else { 1.0 };
@@ -252,7 +249,7 @@
                 _ => m.draining = m.draining.or(Some(self.now)),
             }
             // Late: counts where no answer has told since, never against one if members don't check reads.
-            let as_of = Time(self.now.0.saturating_sub(LIST_AGE.0));
+            let as_of = self.now.minus(LIST_AGE);
             let strict = self.set.when_behind == WhenBehind::Answers;
             let told = m.role.is_some_and(|(r, at)| at >= as_of || (strict && r == Role::Replica));
             if e.primary && self.set.list_role != ListRole::None && !told {
@@ -292,12 +289,6 @@
             m.role = m.role.filter(|(_, at)| *at > as_of).or(Some((role, as_of)));
         }
         let Some(p) = s.position.filter(|p| m.position.is_none_or(|(old, _)| *p >= old)) else { return };
-        if now.since(m.anchor.1) >= PACE_OVER {
-            if m.anchor.1 > Time(0) {
-                m.pace = (p.since(m.anchor.0).secs() / now.since(m.anchor.1).secs()).clamp(0.0, 1.0);
-            }
-            m.anchor = (p, now);
-        }
         m.position = Some((p, as_of));
         let (group, is_primary) = (m.group, m.role.is_some_and(|r| r.0 == Role::Primary));
         let high = self.in_group(group).filter_map(|(_, m)| m.position).map(|p| p.0).max().unwrap_or(p);
@@ -327,9 +318,9 @@
         self.probes = (self.probes + probes).min(self.members.len() as f64);
     }
 
-    /// Where a member stands now by its last position and the pace it kept.
+    /// Where a member stands now if it kept up since its last position; a miss tells where it did not.
     fn estimate(&self, m: &Member) -> Option<Time> {
-        m.position.map(|(p, at)| p.plus(self.now.since(at).times(m.pace)))
+        m.position.map(|(p, at)| p.plus(self.now.since(at)))
     }
 
     /// The last known primary: the newest claim in the group.
@@ -576,9 +567,7 @@
         let Some(class) = self.set.classes.get(c) else { return out.push(Action::Fail(req.id)) };
         let floor = match (class.consistency, self.set.tokens) {
             (Consistency::Fresh, _) => Some(self.now),
-            (Consistency::Session, Tokens::Carried) => {
-                req.token.map(|t| Time(self.now.0.saturating_sub(t.0)))
-            }
+            (Consistency::Session, Tokens::Carried) => req.token.map(|t| self.now.minus(t)),
             (Consistency::Session, _) => req.session.and_then(|s| self.written.get(&s)).copied(),
             _ => None,
         };
@@ -593,7 +582,7 @@
             (false, 0) => (*usual, *votes) = (left, 1),
             (false, n) => *votes = n - 1,
         }
-        let arrived = Time(self.now.0.saturating_sub(usual.since(left).0));
+        let arrived = self.now.minus(usual.since(left));
         let worth = class.worth * if req.repeat { class.late_worth.max(REPEAT_WORTH) } else { 1.0 };
         let id = req.id;
         self.earn(PROBE_SHARE);
@@ -637,8 +626,8 @@
     /// The time until which an answer still earns something.
     fn useful_until(&self, job: &Job) -> Time {
         let class = &self.set.classes[job.c];
-        let last = Time(job.req.give_up.0.saturating_sub(2 * self.set.tick.0));
-        let aim = Time(job.arrived.plus(class.aim).0.saturating_sub(self.set.tick.0));
+        let last = job.req.give_up.minus(self.set.tick.times(2.0));
+        let aim = job.arrived.plus(class.aim).minus(self.set.tick);
         last.min(if class.late_worth > 0.0 { last } else { aim })
     }
 
@@ -667,7 +656,7 @@
 
     fn outcome(&mut self, o: Outcome, out: &mut Vec<Action>) {
         let now = self.now;
-        let sent = Time(now.0.saturating_sub(o.took.0));
+        let sent = now.minus(o.took);
         if matches!(o.status, Status::Ok | Status::Miss | Status::Error | Status::Full) {
             self.learn(o.member, o.standing, now);
         }
@@ -763,9 +752,9 @@
         let group = m.group;
         if status == Status::Ok {
             m.heard(now, Why::Transport);
-            let aged = |times: u64| Time(now.0.saturating_sub(times * REPORT_AGE.0));
-            self.learn(id, Standing { position: None, ..report }, aged(2));
-            self.learn(id, Standing { role: None, ..report }, aged(1));
+            let aged = |times| now.minus(REPORT_AGE.times(times));
+            self.learn(id, Standing { position: None, ..report }, aged(2.0));
+            self.learn(id, Standing { role: None, ..report }, aged(1.0));
         } else {
             m.failed(now);
         }
@@ -801,17 +790,16 @@
             self.overdue(); // after a standstill, answers may still lie in the same round
         }
         // Those in doubt come first, then the one that has gone unheard for longest.
+        let decides = |why| why == Why::Transport || (why == Why::Lag && self.set.probe_positions);
         let (mut ask, mut oldest) = (Vec::new(), None);
         for (id, m) in &mut self.members {
             let unheard = now.since(m.refreshed.max(m.asked));
             match m.breaker {
                 Breaker::Open(why, until) if now >= until => m.breaker = Breaker::HalfOpen(why),
-                Breaker::Open(..) | Breaker::HalfOpen(Why::Silent) => {}
-                Breaker::HalfOpen(Why::Lag) if !self.set.probe_positions => {}
-                Breaker::HalfOpen(_) if unheard >= PROBE_DOUBT => ask.push(*id),
+                Breaker::HalfOpen(why) if unheard >= PROBE_DOUBT && decides(why) => ask.push(*id),
                 Breaker::Closed if m.doubt && unheard >= PROBE_DOUBT => ask.push(*id),
-                Breaker::HalfOpen(_) => {}
                 Breaker::Closed => oldest = oldest.max(Some((unheard, *id))),
+                _ => {}
             }
         }
         ask.extend(oldest.filter(|o| o.0 >= PROBE_EVERY).map(|o| o.1));
