Let a class's own time follow each answer, faster down than up

A router that sees few requests never filled the blocks of 25 answers its own times were learnt from.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -26,9 +26,8 @@
 const CAP_LATE: f64 = 0.5; // cut when an answer takes this share of its aim
 const CAP_CUT: f64 = 0.7; // by this factor, once a round trip
 const CROWDED: f64 = 0.45; // expected past this share of the aim: the member counts as at its cap
-const BLOCK: u32 = 25; // a class's own time is the mean of this many answers,
-const BASE_DOWN: f64 = 0.5; // followed down fast
-const BASE_UP: f64 = 0.05; // and up slowly: what an uncrowded member takes
+const BASE_DOWN: f64 = 0.03; // a class's own time follows answers down faster
+const BASE_UP: f64 = 0.015; // than up: what an uncrowded member takes
 const WAIT_GAIN: f64 = 0.15; // how fast a member's wait beyond its classes' own times follows answers
 const WAIT_FADE_S: f64 = 2.0; // and fades unheard
 const WAITS_FADE_S: f64 = 4.0; // and the mean over members of a role
@@ -164,8 +163,7 @@
     members: BTreeMap<MemberId, Member>,
     jobs: BTreeMap<RequestId, Job>,
     held: BTreeSet<(GroupId, RequestId)>,
-    base: Vec<f64>, // own time of each class, in seconds
-    block: Vec<(u32, f64)>,
+    base: Vec<f64>,          // own time of each class, in seconds
     usual: Vec<(Time, u32)>, // time left that most clients of each class come with, and its votes
     margin: Time,
     scout_at: BTreeMap<GroupId, Time>,
@@ -186,9 +184,9 @@
         let bound = |c: &Class| if let Consistency::Bounded(bound) = c.consistency { bound } else { MARGIN };
         let margin = set.classes.iter().map(bound).max().unwrap_or(MARGIN).max(MARGIN);
         let base: Vec<f64> = set.classes.iter().map(|c| c.aim.secs() * 0.2).collect();
-        let (block, usual) = (vec![(0, 0.0); base.len()], vec![(Time(0), 0); base.len()]);
+        let usual = vec![(Time(0), 0); base.len()];
         let (next, weight) = (Time(u64::MAX), 1.0);
-        Policy { set, random: seed, margin, base, block, usual, next, weight, ..Policy::default() }
+        Policy { set, random: seed, margin, base, usual, next, weight, ..Policy::default() }
     }
 
     /// Takes one event; appends what is to be done.
@@ -729,14 +727,8 @@
                     m.cap += (1.0 / m.cap).min(0.3 * m.cap);
                 }
                 self.served = (served + if o.status == Status::Ok { self.base[c] } else { 0.0 }, now);
-                let (n, sum) = &mut self.block[c];
-                (*n, *sum) = (*n + 1, *sum + took);
-                if *n >= BLOCK {
-                    let mean = *sum / f64::from(*n);
-                    let gain = if mean < self.base[c] { BASE_DOWN } else { BASE_UP };
-                    self.base[c] += gain * (mean - self.base[c]);
-                    self.block[c] = (0, 0.0);
-                }
+                let off = took - self.base[c];
+                self.base[c] += off * if off < 0.0 { BASE_DOWN } else { BASE_UP };
             }
             _ => {}
         }
