--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -500,7 +500,7 @@
             }
         }
         let best = best.map(|b| b.1).or_else(|| self.trial(job, primary).filter(|_| !some));
-        best.or_else(|| primary.filter(|id| !self.asking(job) && self.spills(job, *id)))
+        best.or_else(|| primary.filter(|id| self.spills(job, *id)))
     }
 
     /// A replica that fails the gate by an aged position, where it turns the read away untouched if it really
@@ -517,22 +517,6 @@
         fits.max_by_key(|(_, m)| self.estimate(m)).map(|f| f.0)
     }
 
-    /// Whether a replica's position is being asked for on this read's behalf.
-    fn asking(&self, job: &Job) -> bool {
-        let recent = |at: Time| self.now.since(at) < KNOWN_FRESH.times(0.3);
-        self.in_group(job.req.group).any(|(_, m)| m.probe.is_some_and(recent))
-    }
-
-    /// Where reports carry positions, asks replicas with an aged one just in time.
-    fn ask(&mut self, group: GroupId, out: &mut Vec<Action>) {
-        let primary = self.primary(group);
-        let aged = |at: Time| self.now.since(at) > KNOWN_FRESH;
-        let old = |m: &Member| m.position.is_none_or(|(_, at)| aged(at)) && aged(m.asked);
-        let members = self.in_group(group).filter(|(id, m)| Some(*id) != primary && old(m));
-        let ids: Vec<MemberId> = members.map(|m| m.0).collect();
-        ids.into_iter().for_each(|id| self.probe(id, out));
-    }
-
     /// Whether the primary can take a write or a fresh read now.
     fn primary_takes(&self, job: &Job, id: MemberId) -> bool {
         let Some(m) = self.members.get(&id) else { return false };
@@ -592,13 +576,7 @@
     fn place(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
         let Some(job) = self.jobs.remove(&id) else { return true };
         let late = self.now.plus(self.set.tick) >= self.useful_until(&job);
-        let mut target = if late || self.starting(&job) { None } else { self.choose(&job) };
-        let read = !matches!(self.set.classes[job.c].consistency, Consistency::Write | Consistency::Fresh);
-        let spilt = target.is_none() || self.primary(job.req.group) == target;
-        if read && !late && spilt && self.set.probe_positions {
-            self.ask(job.req.group, out);
-            target = target.filter(|_| !self.asking(&job));
-        }
+        let target = if late || self.starting(&job) { None } else { self.choose(&job) };
         let (group, worth_it) = (job.req.group, self.worth_holding(&job));
         self.jobs.insert(id, job);
         if let Some(member) = target {
