Close idle connections while connects are refused; a refused connect is no restart

Evidence: connects failed within 20 ms while every probe to the same members passed, and some members served next to nothing: their few connections lay idle with routers that seldom use them. The failure showed at members that were well. Now a connect refused at once makes a router close what it holds idle for 10 s, leaves that member for 100 ms and may try it again; three failures mean a restart (and a cold member) only if a probe failed too. Costs handshakes where a dead member refuses.

--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -392,6 +392,8 @@
     Timer(Time, u64),
     /// Probe a member.
     Probe(MemberId),
+    /// Close the idle connections to a member.
+    CloseIdle(MemberId),
     /// Ask discovery to follow the list.
     Watch,
     /// Ask discovery for the whole list once.
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -17,6 +17,8 @@
 const COOLDOWN: Time = Time::ms(1000); // for transport failures or silence
 const SILENT_LEAST: Time = Time::ms(250); // no attempt is overdue before this
 const FULL_REST: Time = Time::ms(100); // a full member is left alone for this
+const SHORT_FOR: Time = Time::ms(10_000); // after a failed connect, idle connections are closed for this long
+const CONNECT_FAST: Time = Time::ms(100); // a connect that fails sooner was refused, not lost on the way
 const SCOUT_EVERY: Time = Time::ms(40); // pace of the search for a primary
 const START_HOLD: Time = Time::ms(250); // a started router holds reads for its probes no longer
                                         // Counts and shares.
@@ -100,7 +102,7 @@
         (self.started, self.credit) = (started, (-self.dither, now));
     }
     fn failed(&mut self, now: Time) {
-        (self.doubt, self.lost) = (true, now);
+        self.doubt = true;
         self.missed(now);
     }
     fn missed(&mut self, now: Time) {
@@ -110,9 +112,10 @@
             self.breaker = Breaker::Open(Why::Transport, now.plus(COOLDOWN));
         }
     }
-    /// One back after failures running has most likely restarted and is cold; the list tells later.
+    /// One back after failures running, a probe's among them (connects alone may fail for want of connections),
+    /// has most likely restarted and is cold; the list tells later.
     fn heard(&mut self, now: Time, proves: Why) {
-        if self.failures >= FAILURES && self.started < Some(self.lost) {
+        if self.failures >= FAILURES && self.lost > self.refreshed && self.started < Some(self.lost) {
             self.restarted(Some(self.lost), now);
         }
         (self.failures, self.doubt, self.refreshed) = (0, false, now);
@@ -172,6 +175,7 @@
     next: Time,  // of the timer that counts
     written: BTreeMap<SessionKey, Time>,
     asked: Time,
+    short: Time,             // when a connect failed last
     served: (f64, Time),     // work, fading
     waits: [(f64, Time); 2], // mean wait at replicas and at primaries
     weight: f64,             // of all members listed
@@ -469,10 +473,11 @@
         let own = self.base[job.c];
         let long = needs == Consistency::Any
             && own > LONG_TIMES * self.base.iter().copied().fold(f64::MAX, f64::min);
+        let again = |s| matches!(s, Some(Status::Full | Status::ConnectFailed));
         let (mut some, mut best): (bool, Option<(f64, MemberId)>) = (false, None);
         for id in self.groups.get(&job.req.group).into_iter().flatten() {
             let Some(m) = self.members.get(id) else { continue };
-            let tried = job.tries.iter().any(|t| t.member == *id && t.status != Some(Status::Full));
+            let tried = job.tries.iter().any(|t| t.member == *id && !again(t.status));
             // Reads take their CPU from the log's apply thread: the further behind, the fewer at a time.
             let lag = self.estimate(m).map_or(0.0, |p| self.now.since(p).secs());
             let near = if needs == Consistency::Any { 1.0 } else { 1.0 - (lag / self.margin.secs()).powi(2) };
@@ -652,6 +657,14 @@
             }
         }
         self.judge(&o, class, sent, out);
+        // Connects refused at once may be for want of connections: idle ones are closed so that others find room.
+        let refused = o.status == Status::ConnectFailed && o.took < CONNECT_FAST;
+        let all = refused && now.since(self.short) > SHORT_FOR.times(0.1);
+        self.short = if refused { now } else { self.short };
+        if self.short > Time(0) && now.since(self.short) < SHORT_FOR {
+            let idle = self.members.iter().filter(|(id, m)| m.in_flight == 0 && (all || **id == o.member));
+            out.extend(idle.map(|(id, _)| Action::CloseIdle(*id)));
+        }
         if o.ended {
             self.forget(o.request, out);
         } else if self.jobs.contains_key(&o.request) {
@@ -676,7 +689,11 @@
                 m.heard(now, Why::Silent);
                 m.answered = now;
             }
-            Status::ConnectFailed | Status::Reset => m.failed(now),
+            Status::ConnectFailed => {
+                m.rest = now.plus(FULL_REST);
+                m.failed(now);
+            }
+            Status::Reset => m.failed(now),
             Status::Timeout if m.answered < sent => m.missed(now),
             _ => {}
         }
@@ -726,6 +743,7 @@
             self.learn(id, Standing { position: None, ..report }, aged(2.0));
             self.learn(id, Standing { role: None, ..report }, aged(1.0));
         } else {
+            m.lost = now;
             m.failed(now);
         }
         self.pump(group, out);
--- a/crates/sim/src/wire.rs
+++ b/crates/sim/src/wire.rs
@@ -252,6 +252,7 @@
             Action::Cancel(id, attempt) => put(4, &[&id.0.to_be_bytes(), &attempt.0.to_be_bytes()]),
             Action::Timer(after, token) => put(5, &[&after.0.to_be_bytes(), &token.to_be_bytes()]),
             Action::Probe(member) => put(6, &[&member.0.to_be_bytes()]),
+            Action::CloseIdle(member) => put(7, &[&member.0.to_be_bytes()]),
             Action::Log(text) => {
                 let (at, len) = (tail.len() as u32, text.len() as u32);
                 put(9, &[&at.to_be_bytes(), &len.to_be_bytes()]);
