--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -24,7 +24,7 @@
                                         // Counts and shares.
 const FAILURES: u32 = 3; // transport failures running that eject
 const CAP_START: f64 = 16.0; // in-flight cap of a member at first,
-const CAP_FLOOR: f64 = 0.2; // at least (below one: pauses between single requests),
+const CAP_FLOOR: f64 = 1.0; // at least,
 const CAP_LATE: f64 = 0.5; // cut when an answer takes this share of its aim
 const CAP_CUT: f64 = 0.7; // by this factor, once a round trip
 const CROWDED: f64 = 0.45; // expected past this share of the aim: the member counts as at its cap
@@ -87,7 +87,6 @@
     probe: Option<Time>,
     asked: Time,
     refreshed: Time,
-    sent: Time,
     dither: f64,
     credit: (f64, Time), // work that it may still be sent while cold, and when that was counted
     scouted: Time,
@@ -169,7 +168,6 @@
     base: Vec<f64>,          // own time of each class, in seconds
     usual: Vec<(Time, u32)>, // time left that most clients of each class come with, and its votes
     margin: Time,
-    scout_at: BTreeMap<GroupId, Time>,
     groups: BTreeMap<GroupId, Vec<MemberId>>,
     probes: f64, // that may still be sent
     next: Time,  // of the timer that counts
@@ -350,10 +348,9 @@
         value * (-self.now.since(at).secs() / over_s).exp()
     }
 
-    /// Whether a member is below this share of its cap; below one, single requests go out with pauses.
-    fn room(&self, job: &Job, m: &Member, share: f64) -> bool {
-        let paused = m.cap < 1.0 && self.now.since(m.sent).secs() < self.base[job.c] / m.cap;
-        m.rest <= self.now && !paused && f64::from(m.in_flight) < (m.cap * share).max(1.0)
+    /// Whether a member is below this share of its cap.
+    fn room(&self, m: &Member, share: f64) -> bool {
+        m.rest <= self.now && f64::from(m.in_flight) < (m.cap * share).max(1.0)
     }
 
     /// Whether this request's answer is expected too late there.
@@ -481,13 +478,10 @@
             // Reads take their CPU from the log's apply thread: the further behind, the fewer at a time.
             let lag = self.estimate(m).map_or(0.0, |p| self.now.since(p).secs());
             let near = if needs == Consistency::Any { 1.0 } else { 1.0 - (lag / self.margin.secs()).powi(2) };
-            let fit = self.room(job, m, self.warmth(m) * near)
-                && !tried
-                && m.draining.is_none()
-                && !self.crowded(job, m);
+            let room = self.room(m, self.warmth(m) * near) && !tried && m.draining.is_none();
             let passes = Some(*id) != primary && self.admits(job, m) && self.passes(job, *id, m, estimated);
             some |= passes;
-            if !fit || !passes || !self.legal(job, *id) {
+            if !(room && passes) || self.crowded(job, m) || !self.legal(job, *id) {
                 continue;
             }
             let noise = dice(&mut self.random);
@@ -530,7 +524,7 @@
             Breaker::Open(why, _) => why == Why::Lag,
             Breaker::HalfOpen(why) => why == Why::Lag || (why == Why::Silent && m.in_flight == 0),
         };
-        closed && self.room(job, m, 1.0) && self.legal(job, id)
+        closed && self.room(m, 1.0) && self.legal(job, id)
     }
 
     /// The primary as last resort. Its writes come first: a read spills only while they are expected well
@@ -584,16 +578,12 @@
         let target = if late || self.starting(&job) { None } else { self.choose(&job) };
         let (group, worth_it) = (job.req.group, self.worth_holding(&job));
         self.jobs.insert(id, job);
-        if let Some(member) = target {
-            self.send(id, member, out);
-            return true;
-        }
-        if worth_it {
-            self.held.insert((group, id));
-        } else {
-            self.give_up(id, out);
+        match target {
+            Some(member) => self.send(id, member, out),
+            None if worth_it => drop(self.held.insert((group, id))),
+            None => self.give_up(id, out),
         }
-        !worth_it
+        target.is_some() || !worth_it
     }
 
     /// A started router probes first and holds reads meanwhile.
@@ -631,7 +621,7 @@
         self.held.remove(&(group, id));
         let limit = job.req.give_up.since(now.plus(self.set.tick)).max(self.set.tick);
         job.tries.push(Try { member, sent: now, status: None });
-        (m.in_flight, m.sent, m.credit) = (m.in_flight + 1, now, (credit - base, now));
+        (m.in_flight, m.credit) = (m.in_flight + 1, (credit - base, now));
         out.push(Action::Send(id, member, Some(limit)));
     }
 
@@ -805,7 +795,7 @@
             |b| matches!(b, Breaker::Closed | Breaker::Open(Why::Lag, _) | Breaker::HalfOpen(Why::Lag));
         let usable = |p: &Member| !p.doubt && behind(p.breaker) && p.draining.is_none();
         let known = self.primary(group).and_then(|id| self.members.get(&id)).is_some_and(usable);
-        if known || self.scout_at.get(&group).is_some_and(|at| self.now < *at) {
+        if known || self.in_group(group).any(|(_, m)| self.now.since(m.scouted) < SCOUT_EVERY) {
             return;
         }
         let span = (group, RequestId(0))..=(group, RequestId(u64::MAX));
@@ -816,7 +806,6 @@
         let tried = |id| job.tries.iter().any(|t| t.member == id);
         let turn = fit.min_by_key(|(id, m)| (tried(*id), m.scouted, m.position.map(|p| u64::MAX - p.0 .0)));
         let Some(member) = turn.map(|t| t.0) else { return };
-        self.scout_at.insert(group, self.now.plus(SCOUT_EVERY));
         self.members.entry(member).and_modify(|m| m.scouted = self.now);
         self.send(id, member, out);
     }
