--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -4,7 +4,7 @@
 use crate::api::*;
 use std::collections::{BTreeMap, BTreeSet};
 
-// Tuned values: times.
+// Tuned values: times, then counts and shares.
 const SWEEP: Time = Time::ms(10); // housekeeping while requests are held or members in doubt,
 const REST_SWEEP: Time = Time::ms(100); // and otherwise
 const PROBE_EVERY: Time = Time::ms(2000); // a member that no answer has refreshed for this long is probed
@@ -21,10 +21,9 @@
 const CONNECT_FAST: Time = Time::ms(100); // a connect that fails sooner was refused, not lost on the way
 const SCOUT_EVERY: Time = Time::ms(40); // pace of the search for a primary
 const START_HOLD: Time = Time::ms(250); // a started router holds reads for its probes no longer
-                                        // Counts and shares.
+
 const FAILURES: u32 = 3; // transport failures running that eject
-const CAP_START: f64 = 16.0; // in-flight cap of a member at first,
-const CAP_FLOOR: f64 = 1.0; // at least,
+const CAP_START: f64 = 16.0; // in-flight cap of a member at first, never under one,
 const CAP_LATE: f64 = 0.5; // cut when an answer takes this share of its aim
 const CAP_CUT: f64 = 0.7; // by this factor, once a round trip
 const CROWDED: f64 = 0.45; // expected past this share of the aim: the member counts as at its cap
@@ -46,7 +45,7 @@
 const SPILL_SPAN: f64 = 0.35; // and this much more by its worth for its work
 const COLD_SHARE: f64 = 0.7; // part of the fall multiple used at a cold member
 const COLD_LEAST: f64 = 0.8; // work per second that it gets from all routers, if none has served anything
-const SERVED_OVER_S: f64 = 60.0; // memory of a router's own rate: long, or a jam would starve the cold further
+const SERVED_OVER_S: f64 = 60.0; // memory of a router's own rate: long, or a jam starves the cold
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Why {
@@ -111,8 +110,8 @@
             self.breaker = Breaker::Open(Why::Transport, now.plus(COOLDOWN));
         }
     }
-    /// One back after failures running, a probe's among them (connects alone may fail for want of connections),
-    /// has most likely restarted and is cold; the list tells later.
+    /// One back after failures running, a probe's among them, has most likely restarted and is cold: the list
+    /// tells later. Connects alone may have failed for want of connections.
     fn heard(&mut self, now: Time, proves: Why) {
         if self.failures >= FAILURES && self.lost > self.refreshed && self.started < Some(self.lost) {
             self.restarted(Some(self.lost), now);
@@ -213,10 +212,7 @@
             Event::Lapsed(id) => self.forget(id, out),
             Event::Probed(m, status, _, report) => self.probed(m, status, report, out),
             Event::Timer(_) if now < self.next => {}
-            Event::Timer(_) => {
-                self.next = Time(u64::MAX);
-                self.sweep(out);
-            }
+            Event::Timer(_) => self.sweep(out),
         }
         let due = now.plus(if self.held.is_empty() { REST_SWEEP } else { SWEEP });
         if due < self.next {
@@ -235,8 +231,8 @@
         let shortest = self.base.iter().copied().fold(f64::MAX, f64::min);
         for e in entries {
             let dither = dice(&mut self.random) * shortest;
-            let fresh = || Member { weight: 1.0, cap: CAP_START, dither, ..Member::default() };
-            let m = self.members.entry(e.member).or_insert_with(fresh);
+            let m = self.members.entry(e.member);
+            let m = m.or_insert_with(|| Member { cap: CAP_START, dither, ..Member::default() });
             (m.group, m.zone) = (e.group, e.zone);
             m.weight = if self.set.weights && e.weight > 0.0 { e.weight } else { 1.0 };
             if e.started > m.started {
@@ -292,9 +288,9 @@
         m.position = Some((p, as_of));
         let (group, is_primary) = (m.group, m.role.is_some_and(|r| r.0 == Role::Primary));
         let high = self.in_group(group).filter_map(|(_, m)| m.position).map(|p| p.0).max().unwrap_or(p);
-        let margin = self.margin;
+        let behind = !is_primary && high.since(p) > self.margin;
         let Some(m) = self.members.get_mut(&id) else { return };
-        if !is_primary && high.since(p) > margin {
+        if behind {
             if matches!(m.breaker, Breaker::Closed | Breaker::HalfOpen(_)) {
                 m.breaker = Breaker::Open(Why::Lag, now.plus(LAG_REST));
             }
@@ -336,8 +332,8 @@
         (self.set.cold_from + (1.0 - self.set.cold_from) * part).min(1.0)
     }
 
-    /// How long answers take at a member beyond their class's own time, in seconds: what it showed lately, and
-    /// the less lately the more what members of its role show this router.
+    /// Seconds that answers take at a member beyond their class's own time: what it showed lately and, the
+    /// longer ago that is, the more what members of its role show this router.
     fn wait(&self, m: &Member) -> f64 {
         let known = self.faded((1.0, m.wait.1), WAIT_FADE_S);
         m.wait.0 * known + self.faded(self.waits[m.leads()], WAITS_FADE_S) * (1.0 - known)
@@ -385,11 +381,10 @@
         !stale && (self.warmth(m) >= 1.0 || self.credit(m) >= 0.0)
     }
 
-    /// Work per second that this router may send to a cold member: a share of the multiple, of its least warmth
-    /// and of this router's own mean rate at members. Rates add up, so all routers together keep to the rule
-    /// however many they are, and fleets where nothing is served yet get a trickle.
+    /// Work a second that this router may send to a cold member, by its least warmth and this router's rate
+    /// at members. Rates add up: all routers together keep to the rule, however many they are.
     fn cold_rate(&self, m: &Member) -> f64 {
-        let age = self.now.since(self.begun.unwrap_or(self.now)).secs().max(MARGIN.secs());
+        let age = self.now.since(self.begun.unwrap_or(self.now)).secs().max(1.0);
         let over = SERVED_OVER_S * (1.0 - (-age / SERVED_OVER_S).exp());
         let own = self.faded(self.served, SERVED_OVER_S) / over * m.weight / self.weight;
         let least = COLD_LEAST / f64::from(self.set.routers).max(FEW_ROUTERS);
@@ -465,8 +460,7 @@
             return primary.filter(|id| self.primary_takes(job, *id));
         }
         let estimated = self.set.when_behind != WhenBehind::Answers;
-        // Long any-reads stop the log where they run: all routers put them on the member that is furthest
-        // behind (at first: of the lowest id), so that the others stay fresh.
+        // Long any-reads stop the log where they run: all go to the one furthest behind, or of the lowest id.
         let own = self.base[job.c];
         let long = needs == Consistency::Any
             && own > LONG_TIMES * self.base.iter().copied().fold(f64::MAX, f64::min);
@@ -475,7 +469,7 @@
         for id in self.groups.get(&job.req.group).into_iter().flatten() {
             let Some(m) = self.members.get(id) else { continue };
             let tried = job.tries.iter().any(|t| t.member == *id && !again(t.status));
-            // Reads take their CPU from the log's apply thread: the further behind, the fewer at a time.
+            // Reads take CPU from the apply thread: the further behind, the fewer at a time.
             let lag = self.estimate(m).map_or(0.0, |p| self.now.since(p).secs());
             let near = if needs == Consistency::Any { 1.0 } else { 1.0 - (lag / self.margin.secs()).powi(2) };
             let room = self.room(m, self.warmth(m) * near) && !tried && m.draining.is_none();
@@ -507,8 +501,7 @@
     fn trial(&self, job: &Job, primary: Option<MemberId>) -> Option<MemberId> {
         let refuses = self.set.when_behind == WhenBehind::Refuses;
         let fits = self.in_group(job.req.group).filter(|(id, m)| {
-            let aged =
-                m.position.is_none_or(|(_, at)| self.now.since(at) > KNOWN_FRESH.times(1.0 / self.few()));
+            let aged = m.position.is_none_or(|(_, at)| self.now.since(at).times(self.few()) > KNOWN_FRESH);
             let well = !m.doubt && matches!(m.breaker, Breaker::Closed | Breaker::HalfOpen(Why::Lag));
             let idle = m.in_flight == 0 && m.draining.is_none() && m.rest <= self.now;
             refuses && Some(*id) != primary && aged && well && idle && self.legal(job, *id)
@@ -527,34 +520,31 @@
         closed && self.room(m, 1.0) && self.legal(job, id)
     }
 
-    /// The primary as last resort. Its writes come first: a read spills only while they are expected well
-    /// within their aim, and the less the read is worth for its work, the sooner it stops.
+    /// The primary as last resort, while writes there are expected well within their aim: the more a read is
+    /// worth for its work, the longer.
     fn spills(&self, job: &Job, id: MemberId) -> bool {
         let Some(m) = self.members.get(&id) else { return false };
-        let value = |c: usize| self.set.classes[c].worth / self.base[c];
-        let best = (0..self.base.len()).map(value).fold(1e-9, f64::max);
-        let limit =
-            (SPILL_LEAST + SPILL_SPAN * value(job.c) / best) * job.worth / self.set.classes[job.c].worth;
-        let classes = self.set.classes.iter().zip(&self.base);
+        let (wait, classes) = (self.wait(m), self.set.classes.iter().zip(&self.base));
+        let best = classes.clone().map(|(c, base)| c.worth / base).fold(1e-9, f64::max);
         let writes = classes.filter(|(c, _)| c.consistency == Consistency::Write);
-        let wait = self.wait(m);
         let crowding = writes.map(|(c, base)| (base + wait) / c.aim.secs()).fold(0.0, f64::max);
-        let room = crowding <= limit && !self.crowded(job, m);
-        room && self.primary_takes(job, id)
+        let (worth, base) = (self.set.classes[job.c].worth, self.base[job.c]);
+        let limit = (SPILL_LEAST + SPILL_SPAN * worth / base / best) * job.worth / worth;
+        crowding <= limit && !self.crowded(job, m) && self.primary_takes(job, id)
     }
 
     fn request(&mut self, req: Request, out: &mut Vec<Action>) {
         let c = usize::from(req.class.0);
         let Some(class) = self.set.classes.get(c) else { return out.push(Action::Fail(req.id)) };
+        let wrote = |s| self.written.get(&s).copied().unwrap_or_default();
         let floor = match (class.consistency, self.set.tokens) {
-            (Consistency::Fresh, _) => Some(self.now),
-            (Consistency::Session, Tokens::Carried) => req.token.map(|t| self.now.minus(t)),
-            (Consistency::Session, _) => req.session.and_then(|s| self.written.get(&s)).copied(),
-            _ => None,
+            (Consistency::Fresh, _) => self.now,
+            (Consistency::Session, Tokens::Carried) => req.token.map_or(Time(0), |t| self.now.minus(t)),
+            (Consistency::Session, _) => req.session.map_or(Time(0), wrote),
+            _ => Time(0),
         };
-        let floor = floor.unwrap_or(Time(0));
-        // Most clients of a class come with the same time left; one with less has waited meanwhile, for a router
-        // that stood still or through an earlier try, and its aim runs from then on. The majority is kept by vote.
+        // Most clients of a class come with the same time left (told by vote); one with less has waited for a
+        // router that stood still, or through an earlier try, and its aim runs from then on.
         let left = req.give_up.since(self.now);
         let (usual, votes) = &mut self.usual[c];
         let near = left.since(*usual).max(usual.since(left)) < self.set.tick.times(3.0);
@@ -590,8 +580,7 @@
     fn starting(&self, job: &Job) -> bool {
         let write = self.set.classes[job.c].consistency == Consistency::Write;
         let early = self.begun.is_some_and(|at| self.now.since(at) < START_HOLD);
-        let mut members = self.in_group(job.req.group);
-        early && !write && members.any(|(_, m)| m.probe.is_some())
+        early && !write && self.in_group(job.req.group).any(|(_, m)| m.probe.is_some())
     }
 
     /// The time until which an answer still earns something.
@@ -609,8 +598,8 @@
         let class = &self.set.classes[job.c];
         let keyed = |t: &Try| class.effect == Effect::Keyed && self.now.since(t.sent) < class.window;
         let again = class.effect == Effect::Safe || job.may_have_run().is_none_or(keyed);
-        let group = self.in_group(job.req.group).next().is_some();
-        group && attempts && again && self.now.plus(base).plus(SWEEP) < self.useful_until(job)
+        let some = attempts && again && self.groups.contains_key(&job.req.group);
+        some && self.now.plus(base).plus(SWEEP) < self.useful_until(job)
     }
 
     fn send(&mut self, id: RequestId, member: MemberId, out: &mut Vec<Action>) {
@@ -639,15 +628,15 @@
                 if let Some(m) = self.members.get_mut(&o.member) {
                     m.in_flight = m.in_flight.saturating_sub(1);
                 }
-                let wrote =
-                    self.set.classes[job.c].consistency == Consistency::Write && o.status == Status::Ok;
-                if let (true, Some(s), Some(p)) = (wrote, job.req.session, o.standing.position) {
+                let write = self.set.classes[job.c].consistency == Consistency::Write;
+                let wrote = o.standing.position.filter(|_| write && o.status == Status::Ok);
+                if let (Some(s), Some(p)) = (job.req.session, wrote) {
                     self.written.entry(s).and_modify(|w| *w = p.max(*w)).or_insert(p);
                 }
             }
         }
         self.judge(&o, class, sent, out);
-        // Connects refused at once may be for want of connections: idle ones are closed so that others find room.
+        // Refused connects may be for want of connections: idle ones are closed, so that others find room.
         let refused = o.status == Status::ConnectFailed && o.took < CONNECT_FAST;
         let all = refused && now.since(self.short) > SHORT_FOR.times(0.1);
         self.short = if refused { now } else { self.short };
@@ -679,11 +668,7 @@
                 m.heard(now, Why::Silent);
                 m.answered = now;
             }
-            Status::ConnectFailed => {
-                m.rest = now.plus(FULL_REST);
-                m.failed(now);
-            }
-            Status::Reset => m.failed(now),
+            Status::ConnectFailed | Status::Reset => m.failed(now),
             Status::Timeout if m.answered < sent => m.missed(now),
             _ => {}
         }
@@ -692,8 +677,9 @@
             m.errors = (errors + ERROR_GAIN * (bad - errors), now);
         }
         match (o.status, class) {
+            (Status::ConnectFailed, _) => m.rest = now.plus(FULL_REST),
             (Status::Full, _) => {
-                (m.rest, m.cap) = (now.plus(FULL_REST), (f64::from(m.in_flight) * CAP_CUT).max(CAP_FLOOR));
+                (m.rest, m.cap) = (now.plus(FULL_REST), (f64::from(m.in_flight) * CAP_CUT).max(1.0));
             }
             (Status::Miss, _) if write && m.role.is_none_or(|(_, at)| at < now) => {
                 m.role = Some((Role::Replica, now));
@@ -707,7 +693,7 @@
                 all[leads] = (waits[leads] + gain * (took - self.base[c] - waits[leads]), now);
                 let late = took > CAP_LATE * aim;
                 if late && sent > m.cut {
-                    (m.cap, m.cut) = ((m.cap * CAP_CUT).max(CAP_FLOOR), now);
+                    (m.cap, m.cut) = ((m.cap * CAP_CUT).max(1.0), now);
                 } else if !late && f64::from(m.in_flight) + 1.0 >= m.cap * 0.5 {
                     m.cap += (1.0 / m.cap).min(0.3 * m.cap);
                 }
@@ -757,6 +743,7 @@
 
     fn sweep(&mut self, out: &mut Vec<Action>) {
         let now = self.now;
+        self.next = Time(u64::MAX);
         if self.set.list_on_request && now.since(self.asked).0 > self.set.ask_every.0 / 2 {
             self.asked = now;
             out.push(Action::Fetch);
