--- a/crates/sim/tests/golden.rs
+++ b/crates/sim/tests/golden.rs
@@ -101,12 +101,14 @@
         (1, Action::Fail(id)),
         (1, Action::Cancel(id, Attempt(2))),
         (1, Action::Probe(MemberId(4))),
+        (1, Action::CloseIdle(MemberId(5))),
         (1, Action::Watch),
         (1, Action::Fetch),
     ];
     let out = reply(&actions);
     let codes: Vec<u8> = out[8..].chunks(32).map(|r| r[0]).collect();
-    assert_eq!(codes, [2, 3, 4, 6, 11, 12]);
+    assert_eq!(codes, [2, 3, 4, 6, 7, 11, 12]);
+    assert_eq!(out[136..145], bytes("07 00000001 00000005")[..]);
     assert_eq!(out[8..40], bytes("02 00000001 0000000000000009 0000000000000007 0000000000000000000000")[..]);
 }
 
