--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -43,7 +43,7 @@
 const ZONE_TIMES: f64 = 30.0; // bias against crossing zones, times its price
 const SPILL_LEAST: f64 = 0.25; // a read spills while writes are expected within this share of their aim,
 const SPILL_SPAN: f64 = 0.35; // and this much more by its worth for its work
-const COLD_SHARE: f64 = 0.7; // part of the fall multiple used at a cold member
+const COLD_SHARE: f64 = 0.9; // part of the fall multiple used at a cold member
 const COLD_LEAST: f64 = 0.8; // work per second that it gets from all routers, if none has served anything
 const SERVED_OVER_S: f64 = 60.0; // memory of a router's own rate: long, or a jam starves the cold
 
@@ -290,11 +290,9 @@
         let high = self.in_group(group).filter_map(|(_, m)| m.position).map(|p| p.0).max().unwrap_or(p);
         let behind = !is_primary && high.since(p) > self.margin;
         let Some(m) = self.members.get_mut(&id) else { return };
-        if behind {
-            if matches!(m.breaker, Breaker::Closed | Breaker::HalfOpen(_)) {
-                m.breaker = Breaker::Open(Why::Lag, now.plus(LAG_REST));
-            }
-        } else if matches!(m.breaker, Breaker::HalfOpen(Why::Lag)) {
+        if behind && !matches!(m.breaker, Breaker::Open(..)) {
+            m.breaker = Breaker::Open(Why::Lag, now.plus(LAG_REST));
+        } else if !behind && matches!(m.breaker, Breaker::HalfOpen(Why::Lag)) {
             m.breaker = Breaker::Closed;
         }
     }
@@ -367,7 +365,8 @@
         let out = job.out();
         let spent = job.tries.len() >= self.set.max_attempts as usize;
         let copy = out > 0 && (!self.set.second_copies || class.effect == Effect::Unsafe || out > 1);
-        let drained = m.draining.is_some_and(|at| self.now.since(at) >= self.set.drain_grace);
+        let drained =
+            m.draining.is_some_and(|at| at.plus(self.set.drain_grace) <= self.now.plus(self.set.tick));
         if m.group != job.req.group || spent || copy || drained {
             return false;
         }
@@ -396,8 +395,8 @@
 
     /// What a cold member may be sent by now; each router begins at another point of its first wait.
     fn credit(&self, m: &Member) -> f64 {
-        let rate = self.cold_rate(m);
-        (m.credit.0 + rate * self.now.since(m.credit.1).secs()).min(rate * self.set.fall.secs())
+        let (rate, since) = (self.cold_rate(m), self.now.since(m.credit.1).secs());
+        (m.credit.0 + rate * since).min(m.dither.max(rate * self.set.fall.secs()))
     }
 
     /// Ends a request that has no attempt out: refused where that is harmless, else failed.
