--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -43,7 +43,7 @@
 const ZONE_TIMES: f64 = 30.0; // bias against crossing zones, times its price
 const SPILL_LEAST: f64 = 0.25; // a read spills while writes are expected within this share of their aim,
 const SPILL_SPAN: f64 = 0.35; // and this much more by its worth for its work
-const COLD_SHARE: f64 = 0.9; // part of the fall multiple used at a cold member
+const COLD_SHARE: f64 = 0.75; // part of the fall multiple used at a cold member
 const COLD_LEAST: f64 = 0.8; // work per second that it gets from all routers, if none has served anything
 const SERVED_OVER_S: f64 = 60.0; // memory of a router's own rate: long, or a jam starves the cold
 
