Test routers that stand still among random events, and three troubles without a defence

The property test of the five rules now stops a router for 0.1 to 1.3 s between events, with clients leaving meanwhile. Three tests show what happens with a position that jumps ahead, two claims to be primary and a tenant beyond its share. No change to the module.

--- a/crates/policy/tests/failures.rs
+++ b/crates/policy/tests/failures.rs
@@ -638,3 +638,41 @@
         assert!(b.refused(RequestId(9999)) && !b.refused(id), "a group that no list named");
     }
 }
+
+#[test]
+fn two_claims_to_be_primary_the_newer_answer_wins_each_time() {
+    // What happens, not a defence: writes follow the newest claim, and a miss there sends them on.
+    let mut b = Bench::new(settings());
+    b.report(2, b.now, Role::Primary);
+    b.run(400);
+    b.report(3, b.now, Role::Primary);
+    let id = b.ask(KEYED, 0);
+    assert_eq!(b.went(id), Some(3));
+    b.end(id, Status::Miss, 1, 10, Role::Replica);
+    assert!(matches!(b.went(id), Some(1 | 2)), "the next newest claim");
+}
+
+#[test]
+fn a_position_that_jumps_ahead_wrongly_costs_a_miss_where_members_check() {
+    // What happens, not a defence: positions never go back, so the jump is believed until a miss.
+    let mut b = Bench::new(settings());
+    b.teach([3000, 3000]);
+    b.run(900);
+    b.report(2, b.now, Role::Replica);
+    b.report(2, Time(b.now.0 - Time::ms(3000).0), Role::Replica);
+    let id = b.ask(BOUNDED, 0);
+    assert_eq!(b.went(id), Some(2));
+    b.end(id, Status::Miss, 1, 3000, Role::Replica);
+    assert!(!b.refused(id) && b.went(id) != Some(2), "the read goes on elsewhere at once");
+}
+
+#[test]
+fn a_tenant_far_beyond_its_share_is_served_like_the_rest() {
+    // What happens, not a defence: a router sees only its own part of a tenant's traffic.
+    let mut set = settings();
+    set.tenants = vec![Tenant { quota_per_s: 1.0 }];
+    let mut b = Bench::new(set);
+    b.teach([10, 10]);
+    let ids: Vec<RequestId> = (0..6).map(|_| b.ask(ANY, 0)).collect();
+    assert!(ids.iter().all(|id| b.out(*id)));
+}
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -13,12 +13,34 @@
 #[derive(Clone, Debug)]
 enum Step {
     Wait(u16),
-    Ask { class: u16, token: u16, patience: u16, group: u8 },
-    End { pick: u16, status: u8, behind: u16, primary: bool },
+    /// The router stands still, then finds all that came meanwhile.
+    Stall(u16),
+    Ask {
+        class: u16,
+        token: u16,
+        patience: u16,
+        group: u8,
+    },
+    End {
+        pick: u16,
+        status: u8,
+        behind: u16,
+        primary: bool,
+    },
     Lapse(u16),
-    List { member: u8, listed: u8, primary: bool, restart: bool },
+    List {
+        member: u8,
+        listed: u8,
+        primary: bool,
+        restart: bool,
+    },
     Forgets(u8),
-    Probe { member: u8, ok: bool, behind: u16, primary: bool },
+    Probe {
+        member: u8,
+        ok: bool,
+        behind: u16,
+        primary: bool,
+    },
     Stray(u8),
 }
 
@@ -26,6 +48,7 @@
     prop_oneof![
         4 => (1u16..60).prop_map(Step::Wait),
         1 => (700u16..1300).prop_map(Step::Wait),
+        1 => (100u16..1300).prop_map(Step::Stall),
         6 => (0u16..7, 0u16..1500, 20u16..3000, 0u8..2)
             .prop_map(|(class, token, patience, group)| Step::Ask { class, token, patience, group }),
         8 => (any::<u16>(), 0u8..12, 0u16..4000, any::<bool>())
@@ -281,6 +304,17 @@
     fn play(&mut self, n: usize, step: Step) {
         match step {
             Step::Wait(ms) => (0..=ms / 10).for_each(|_| self.tick()),
+            Step::Stall(ms) => {
+                self.now = self.now.plus(Time::ms(u64::from(ms)));
+                let now = self.now;
+                let left = self.asked.iter().filter(|(_, a)| !a.over && now > a.give_up.plus(Time::ms(10)));
+                let left: Vec<RequestId> = left.map(|(id, _)| *id).collect();
+                for id in left {
+                    self.asked.entry(id).and_modify(|a| a.over = true);
+                    self.event(Event::Lapsed(id));
+                }
+                self.tick();
+            }
             Step::Ask { class, token, patience, group } => {
                 let id = RequestId(n as u64 + 1);
                 let give_up = self.now.plus(Time::ms(u64::from(patience)));
