--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,43 @@
+//! The one place where configuration is read, checked and given defaults: the settings of a deployment (for both
+//! programs) and what the router is told about itself.
+pub mod router;
+pub mod settings;
+
+use std::fmt;
+
+/// What is wrong with a configuration; names the key at fault by its path.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigError {
+    /// The key, like `settings.familyInfo.consistency[2]`.
+    pub key: String,
+    /// What is wrong with it.
+    pub problem: String,
+}
+
+impl ConfigError {
+    /// A problem with a key.
+    pub fn new(key: impl Into<String>, problem: impl Into<String>) -> ConfigError {
+        ConfigError { key: key.into(), problem: problem.into() }
+    }
+
+    fn under(self, parent: &str) -> ConfigError {
+        let key = if self.key.is_empty() { parent.into() } else { format!("{parent}.{}", self.key) };
+        ConfigError { key, ..self }
+    }
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.key, self.problem)
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+/// Reads a JSON value into a type; a fault names the path of the key.
+fn typed<T: serde::de::DeserializeOwned>(value: serde_json::Value) -> Result<T, ConfigError> {
+    serde_path_to_error::deserialize(value).map_err(|e| {
+        let path = e.path().to_string();
+        ConfigError::new(if path == "." { String::new() } else { path }, e.inner().to_string())
+    })
+}
--- /dev/null
+++ b/crates/config/src/router.rs
@@ -0,0 +1,134 @@
+//! What one router is told: its file (`BALANCER_CONFIG`) and variables. A variable wins over the file's key.
+
+use crate::settings::{self, Site};
+use crate::{typed, ConfigError};
+use basalthill_policy::api::Time;
+use serde::Deserialize;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// A router's configuration, checked.
+#[derive(Debug)]
+pub struct RouterConfig {
+    /// Its name, the same after a restart.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// For random numbers; new with each start.
+    pub seed: u64,
+    /// Limits of the machine.
+    pub limits: Limits,
+    /// The list of members as this router last had it, in discovery's form; `null` if there is none.
+    pub known: Value,
+    /// The deployment.
+    pub site: Site,
+    /// Keys of the file that a variable has overruled.
+    pub overruled: Vec<String>,
+}
+
+/// Limits of the machine, and the times that follow from them and from the settings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// File descriptors that the program may hold.
+    pub sockets: usize,
+    /// Memory in MiB.
+    pub memory_mb: u64,
+}
+
+/// Descriptors kept back for standard streams, the reactor, signals, the listener and discovery.
+pub const SOCKETS_RESERVED: usize = 24;
+
+/// The share of the settings' idle time after which the router closes an idle connection itself, so that no
+/// request meets the member's closing.
+pub const IDLE_SHARE: f64 = 0.8;
+
+/// After the signal to stop, requests are taken as usual for this long: the front goes on dealing meanwhile.
+pub const STOP_SERVING: Time = Time::ms(500);
+
+/// What is unanswered this long after the signal to stop is failed; the program then ends. A machine's stop
+/// takes the longest deadline (three seconds at most) and 0.7 s.
+pub fn stop_limit(site: &Site) -> Time {
+    let longest = site.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
+    longest.min(Time::ms(3000)).plus(Time::ms(500))
+}
+
+#[derive(Deserialize)]
+struct File {
+    #[serde(default)]
+    name: Option<String>,
+    #[serde(default)]
+    listen: Option<String>,
+    #[serde(default)]
+    discovery: Option<String>,
+    #[serde(default)]
+    seed: Option<String>,
+    #[serde(default)]
+    limits: FileLimits,
+    #[serde(default)]
+    known: Value,
+    settings: Value,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct FileLimits {
+    sockets: usize,
+    memory_mb: u64,
+}
+
+impl Default for FileLimits {
+    fn default() -> FileLimits {
+        FileLimits { sockets: 1024, memory_mb: 192 }
+    }
+}
+
+/// Reads the file at `path` and the variables that `variable` looks up.
+pub fn load(path: &Path, variable: impl Fn(&str) -> Option<String>) -> Result<RouterConfig, ConfigError> {
+    let shown = path.display().to_string();
+    let text = std::fs::read(path).map_err(|e| ConfigError::new(&shown, e.to_string()))?;
+    parse(&text, variable).map_err(|e| ConfigError::new(format!("{shown}: {}", e.key), e.problem))
+}
+
+/// Reads the file's text and the variables that `variable` looks up.
+pub fn parse(text: &[u8], variable: impl Fn(&str) -> Option<String>) -> Result<RouterConfig, ConfigError> {
+    let value: Value = serde_json::from_slice(text).map_err(|e| ConfigError::new("(file)", e.to_string()))?;
+    if !value.is_object() {
+        return Err(ConfigError::new("(file)", "must be a JSON object"));
+    }
+    let file: File = typed(value)?;
+    let mut overruled = Vec::new();
+    let mut pick = |key: &str, name: &str, in_file: Option<String>| {
+        let outside = variable(name).filter(|v| !v.is_empty());
+        if outside.is_some() && in_file.is_some() && outside != in_file {
+            overruled.push(key.to_string());
+        }
+        let value = outside.or(in_file);
+        value.ok_or_else(|| ConfigError::new(key, format!("is missing, and {name} is not set")))
+    };
+    let name = pick("name", "BALANCER_NAME", file.name)?;
+    let listen = address("listen", &pick("listen", "BALANCER_LISTEN", file.listen)?)?;
+    let discovery = address("discovery", &pick("discovery", "BALANCER_DISCOVERY", file.discovery)?)?;
+    let seed = match file.seed {
+        None => 0,
+        Some(hex) => u64::from_str_radix(&hex, 16).map_err(|_| {
+            ConfigError::new("seed", format!("{hex:?} is not a hexadecimal number of 64 bits"))
+        })?,
+    };
+    if file.limits.sockets < 2 * SOCKETS_RESERVED {
+        let problem = format!("must be {} at least", 2 * SOCKETS_RESERVED);
+        return Err(ConfigError::new("limits.sockets", problem));
+    }
+    if !(file.known.is_null() || file.known.is_object()) {
+        return Err(ConfigError::new("known", "must be an object"));
+    }
+    let site = settings::from_value(file.settings)?;
+    let limits = Limits { sockets: file.limits.sockets, memory_mb: file.limits.memory_mb };
+    Ok(RouterConfig { name, listen, discovery, seed, limits, known: file.known, site, overruled })
+}
+
+fn address(key: &str, text: &str) -> Result<SocketAddr, ConfigError> {
+    text.parse().map_err(|_| ConfigError::new(key, format!("{text:?} is not an address with a port")))
+}
--- /dev/null
+++ b/crates/router/src/main.rs
@@ -0,0 +1,7 @@
+//! The program `basalthill`.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    basalthill_router::program::main()
+}
--- /dev/null
+++ b/crates/router/src/protocol/client.rs
@@ -0,0 +1,183 @@
+//! The side towards clients: bytes in, requests out.
+
+use super::frames::{put, put_error, put_text, text, Inbox, ProtocolError, Severity, READY};
+
+/// Longest message body taken: a value of 64 KiB in hexadecimal digits, and room for the rest of the statement.
+pub const LONGEST: usize = 160 * 1024;
+const LONGEST_STARTUP: usize = 10_000;
+
+/// What a client has sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ClientMessage {
+    /// It asks for encryption, which is declined.
+    Encryption,
+    /// It wants another request called off; that is not offered.
+    CancelRequest,
+    /// It has introduced itself; the flags tell of a newer minor version or of options that we don't know.
+    Startup {
+        /// NegotiateProtocolVersion is due.
+        newer: bool,
+    },
+    /// A query: its text without the closing zero.
+    Query(Vec<u8>),
+    /// A message of a part of the protocol that is not served; answered once, up to the next Sync.
+    Unsupported(u8),
+    /// Sync after such messages.
+    Sync,
+    /// It says goodbye.
+    Terminate,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Stage {
+    #[default]
+    Starting,
+    Open,
+    Skipping,
+}
+
+/// The protocol's state for one client.
+#[derive(Debug, Default)]
+pub struct ClientSide {
+    inbox: Inbox,
+    stage: Stage,
+}
+
+impl ClientSide {
+    /// Takes bytes in.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.inbox.feed(bytes);
+    }
+
+    /// Bytes that wait for their turn.
+    pub fn waiting(&self) -> usize {
+        self.inbox.len()
+    }
+
+    /// The next message, if it has come whole.
+    pub fn next(&mut self) -> Result<Option<ClientMessage>, ProtocolError> {
+        if self.stage == Stage::Starting {
+            return self.startup();
+        }
+        loop {
+            let Some((kind, len)) = self.inbox.message(LONGEST)? else { return Ok(None) };
+            let body = &self.inbox.rest()[5..5 + len];
+            let message = match kind {
+                b'Q' if self.stage == Stage::Open => match text(body) {
+                    Some((query, [])) => Some(ClientMessage::Query(query.to_vec())),
+                    _ => return Err(ProtocolError("a query that does not end with its zero byte".into())),
+                },
+                b'X' => Some(ClientMessage::Terminate),
+                b'S' if self.stage == Stage::Skipping => {
+                    self.stage = Stage::Open;
+                    Some(ClientMessage::Sync)
+                }
+                b'S' => Some(ClientMessage::Sync),
+                _ if self.stage == Stage::Skipping => None,
+                b'P' | b'B' | b'E' | b'D' | b'C' | b'H' => {
+                    self.stage = Stage::Skipping;
+                    Some(ClientMessage::Unsupported(kind))
+                }
+                b'F' => Some(ClientMessage::Unsupported(kind)),
+                b'd' | b'c' | b'f' => None,
+                other => return Err(ProtocolError(format!("message type {other} is unknown"))),
+            };
+            self.inbox.used(5 + len);
+            if message.is_some() {
+                return Ok(message);
+            }
+        }
+    }
+
+    fn startup(&mut self) -> Result<Option<ClientMessage>, ProtocolError> {
+        let rest = self.inbox.rest();
+        let Some(head) = rest.first_chunk::<4>() else { return Ok(None) };
+        let len = u32::from_be_bytes(*head) as usize;
+        if !(8..=LONGEST_STARTUP).contains(&len) {
+            return Err(ProtocolError(format!("a startup message of {len} bytes")));
+        }
+        let Some(body) = rest.get(4..len) else { return Ok(None) };
+        let (version, options) = body.split_at(4);
+        let version = u32::from_be_bytes([version[0], version[1], version[2], version[3]]);
+        let message = match (version >> 16, version & 0xffff) {
+            (1234, 5678) => ClientMessage::CancelRequest,
+            (1234, 5679 | 5680) => ClientMessage::Encryption,
+            (3, minor) => {
+                let mut newer = minor > 0;
+                let mut left = options;
+                while let Some((name, after)) = text(left).filter(|(name, _)| !name.is_empty()) {
+                    newer |= name.starts_with(b"_pq_.");
+                    left =
+                        text(after).ok_or_else(|| ProtocolError("a startup option has no value".into()))?.1;
+                }
+                if left != [0] {
+                    return Err(ProtocolError("a startup message that does not end well".into()));
+                }
+                self.stage = Stage::Open;
+                ClientMessage::Startup { newer }
+            }
+            (major, minor) => return Err(ProtocolError(format!("protocol {major}.{minor} is not served"))),
+        };
+        self.inbox.used(len);
+        Ok(Some(message))
+    }
+}
+
+/// The answer to a request for encryption: none.
+pub const NO_ENCRYPTION: &[u8] = b"N";
+
+/// The welcome to a client that has introduced itself.
+pub fn welcome(newer: bool) -> Vec<u8> {
+    let mut out = Vec::with_capacity(256);
+    if newer {
+        put(&mut out, b'v', |out| out.extend([0; 8]));
+    }
+    put(&mut out, b'R', |out| out.extend([0; 4]));
+    let parameters = [
+        ("server_version", "15.0"),
+        ("server_encoding", "UTF8"),
+        ("client_encoding", "UTF8"),
+        ("standard_conforming_strings", "on"),
+        ("integer_datetimes", "on"),
+        ("DateStyle", "ISO, MDY"),
+    ];
+    for (name, value) in parameters {
+        put(&mut out, b'S', |out| {
+            put_text(out, name);
+            put_text(out, value);
+        });
+    }
+    put(&mut out, b'K', |out| out.extend([0; 8]));
+    out.extend_from_slice(READY);
+    out
+}
+
+/// The answer to an empty query.
+pub fn empty_query() -> Vec<u8> {
+    let mut out = Vec::with_capacity(16);
+    put(&mut out, b'I', |_| {});
+    out.extend_from_slice(READY);
+    out
+}
+
+/// An error after which the connection goes on.
+pub fn error(code: &str, message: &str, detail: Option<&str>) -> Vec<u8> {
+    let mut out = Vec::with_capacity(128);
+    put_error(&mut out, Severity::Error, code, message, detail);
+    out.extend_from_slice(READY);
+    out
+}
+
+/// An error without ReadyForQuery, which follows Sync.
+pub fn unsupported() -> Vec<u8> {
+    let mut out = Vec::with_capacity(128);
+    put_error(&mut out, Severity::Error, "0A000", "only simple queries are served", None);
+    out
+}
+
+/// An error after which the connection is closed.
+pub fn fatal(code: &str, message: &str) -> Vec<u8> {
+    let mut out = Vec::with_capacity(128);
+    put_error(&mut out, Severity::Fatal, code, message, None);
+    out
+}
--- /dev/null
+++ b/crates/router/src/protocol/discovery.rs
@@ -0,0 +1,221 @@
+//! Discovery: HTTP/1.1 answers in chunks, and the lists of members inside.
+
+use super::frames::{Inbox, ProtocolError};
+use serde::Deserialize;
+
+/// Longest line of a list that is taken.
+const LONGEST_LINE: usize = 4 << 20;
+const LONGEST_HEAD: usize = 16 * 1024;
+
+/// A list of members, or a change to it.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct HostList {
+    /// Its version.
+    pub version: u64,
+    /// Whether it is the whole list.
+    #[serde(default)]
+    pub full: bool,
+    /// The members in it.
+    #[serde(default)]
+    pub servers: Vec<HostEntry>,
+}
+
+/// A member in a list.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct HostEntry {
+    /// Its id, the same at every router.
+    pub id: String,
+    /// Where it listens.
+    pub addr: String,
+    /// Its zone.
+    #[serde(default)]
+    pub zone: String,
+    /// Its group.
+    pub cell: u32,
+    /// Its state.
+    pub state: HostState,
+    /// Its weight.
+    #[serde(default)]
+    pub weight: f64,
+    /// Unix time in milliseconds of its last start; 0 for long ago.
+    #[serde(default)]
+    pub started_ms: u64,
+    /// Its role, where the list shows it.
+    #[serde(default)]
+    pub rank: Option<String>,
+}
+
+/// A member's state.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum HostState {
+    /// In service.
+    Active,
+    /// Finishing what it has.
+    Leaving,
+    /// Removed.
+    Left,
+}
+
+impl HostList {
+    /// Reads a list from JSON text.
+    pub fn parse(text: &[u8]) -> Result<HostList, ProtocolError> {
+        serde_json::from_slice(text).map_err(|e| ProtocolError(format!("a list that can't be read: {e}")))
+    }
+}
+
+/// What a watch has brought.
+#[derive(Clone, Debug, PartialEq)]
+pub enum WatchMessage {
+    /// An empty line: nothing has changed.
+    Nothing,
+    /// A list or a change.
+    List(HostList),
+    /// The answer has ended.
+    End,
+}
+
+#[derive(Debug, Default, PartialEq, Eq)]
+enum Stage {
+    #[default]
+    Head,
+    /// The size line of a chunk.
+    Size,
+    /// Bytes left of a chunk.
+    Chunk(usize),
+    /// The line end after a chunk.
+    ChunkEnd,
+    /// A body that ends with its connection, or after so many bytes.
+    Plain(Option<usize>),
+    Over,
+}
+
+/// The protocol's state for one answer of discovery.
+#[derive(Debug, Default)]
+pub struct WatchSide {
+    inbox: Inbox,
+    stage: Stage,
+    line: Vec<u8>,
+}
+
+impl WatchSide {
+    /// Takes bytes in.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.inbox.feed(bytes);
+    }
+
+    /// The next message, if one has come whole.
+    pub fn next(&mut self) -> Result<Option<WatchMessage>, ProtocolError> {
+        loop {
+            if let Some(end) = self.line.iter().position(|b| *b == b'\n') {
+                let line: Vec<u8> = self.line.drain(..=end).collect();
+                let text = line.trim_ascii();
+                return match text {
+                    [] => Ok(Some(WatchMessage::Nothing)),
+                    text => HostList::parse(text).map(|list| Some(WatchMessage::List(list))),
+                };
+            }
+            if self.line.len() > LONGEST_LINE {
+                return Err(ProtocolError("a list that is too long".into()));
+            }
+            if self.stage == Stage::Over {
+                let rest = std::mem::take(&mut self.line);
+                return match rest.trim_ascii() {
+                    [] => Ok(Some(WatchMessage::End)),
+                    text => HostList::parse(text).map(|list| Some(WatchMessage::List(list))),
+                };
+            }
+            if !self.step()? {
+                return Ok(None);
+            }
+        }
+    }
+
+    /// The connection has ended.
+    pub fn closed(&mut self) {
+        if matches!(self.stage, Stage::Plain(None)) {
+            self.stage = Stage::Over;
+        }
+    }
+
+    /// Uses some of what waits; whether there was enough of it.
+    fn step(&mut self) -> Result<bool, ProtocolError> {
+        let rest = self.inbox.rest();
+        match self.stage {
+            Stage::Head => {
+                let mut headers = [httparse::EMPTY_HEADER; 32];
+                let mut response = httparse::Response::new(&mut headers);
+                let parsed = response.parse(rest).map_err(|e| ProtocolError(format!("HTTP: {e}")))?;
+                let httparse::Status::Complete(used) = parsed else {
+                    if rest.len() > LONGEST_HEAD {
+                        return Err(ProtocolError("HTTP: a head that is too long".into()));
+                    }
+                    return Ok(false);
+                };
+                if response.code != Some(200) {
+                    return Err(ProtocolError(format!("HTTP: status {}", response.code.unwrap_or(0))));
+                }
+                let mut next = Stage::Plain(None);
+                for h in response.headers.iter() {
+                    let value = h.value.trim_ascii();
+                    if h.name.eq_ignore_ascii_case("transfer-encoding")
+                        && value.eq_ignore_ascii_case(b"chunked")
+                    {
+                        next = Stage::Size;
+                    } else if h.name.eq_ignore_ascii_case("content-length") && next != Stage::Size {
+                        let len = std::str::from_utf8(value).ok().and_then(|v| v.parse().ok());
+                        next =
+                            Stage::Plain(Some(len.ok_or(ProtocolError("HTTP: bad content-length".into()))?));
+                    }
+                }
+                self.stage = next;
+                self.inbox.used(used);
+            }
+            Stage::Size => match httparse::parse_chunk_size(rest) {
+                Err(_) => return Err(ProtocolError("HTTP: a bad chunk size".into())),
+                Ok(httparse::Status::Partial) if rest.len() > 256 => {
+                    return Err(ProtocolError("HTTP: a chunk size that is too long".into()))
+                }
+                Ok(httparse::Status::Partial) => return Ok(false),
+                Ok(httparse::Status::Complete((used, size))) => {
+                    self.stage = if size == 0 { Stage::Over } else { Stage::Chunk(size as usize) };
+                    self.inbox.used(used);
+                }
+            },
+            Stage::Chunk(left) => {
+                let n = left.min(rest.len());
+                self.line.extend_from_slice(&rest[..n]);
+                self.stage = if n == left { Stage::ChunkEnd } else { Stage::Chunk(left - n) };
+                self.inbox.used(n);
+                return Ok(n > 0);
+            }
+            Stage::ChunkEnd => {
+                let Some(end) = rest.first_chunk::<2>() else { return Ok(false) };
+                if end != b"\r\n" {
+                    return Err(ProtocolError("HTTP: a chunk that does not end well".into()));
+                }
+                self.stage = Stage::Size;
+                self.inbox.used(2);
+            }
+            Stage::Plain(left) => {
+                let n = left.unwrap_or(usize::MAX).min(rest.len());
+                self.line.extend_from_slice(&rest[..n]);
+                self.inbox.used(n);
+                self.stage = match left.map(|l| l - n) {
+                    Some(0) => Stage::Over,
+                    left => Stage::Plain(left),
+                };
+                return Ok(n > 0 || self.stage == Stage::Over);
+            }
+            Stage::Over => return Ok(false),
+        }
+        Ok(true)
+    }
+}
+
+/// The request for the changes since a version, or for the whole list and then its changes.
+pub fn watch_request(host: &str, from: Option<u64>) -> Vec<u8> {
+    let from = from.map(|v| format!("&from={v}")).unwrap_or_default();
+    let line = format!("GET /discovery/hosts?watch=1{from} HTTP/1.1\r\nHost: {host}\r\nAccept: */*\r\n\r\n");
+    line.into_bytes()
+}
--- /dev/null
+++ b/crates/router/src/protocol/host.rs
@@ -0,0 +1,243 @@
+//! The side towards database hosts: bytes in, answers out.
+
+use super::frames::{error_code, put, put_text, text, Inbox, Part, ProtocolError};
+
+/// Longest message body taken from a host: a value of 64 KiB and its heads.
+pub const LONGEST: usize = 80 * 1024;
+/// Most bytes that one answer may have in all.
+const LONGEST_ANSWER: usize = 128 * 1024;
+
+/// Positions from here on, in milliseconds of Unix time, are out of range: nanoseconds would not hold them.
+const LATEST_MS: u64 = 1 << 44;
+
+/// What a host's ParameterStatus messages have said before a ReadyForQuery.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Telling {
+    /// Whether it called itself the primary.
+    pub primary: Option<bool>,
+    /// Its position, a Unix time in milliseconds.
+    pub as_of: Option<u64>,
+    /// Its load report as it stood.
+    pub vitals: Option<String>,
+}
+
+/// How a host ended a query.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// One row of one column came, and CommandComplete. The parts of `bytes` that a client gets, in order: the
+    /// description, the row, the completion.
+    Row(Row),
+    /// An ErrorResponse with this SQLSTATE.
+    Error(String),
+    /// Nothing that counts as an answer: the query was empty, or it gave no row.
+    Nothing,
+}
+
+/// A row, held whole where it was received.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Row {
+    /// What the host sent.
+    pub bytes: Vec<u8>,
+    /// The messages that belong to the client, in order.
+    pub parts: Vec<Part>,
+    /// The value; none if it is null.
+    pub value: Option<Part>,
+    /// Whether the value is in binary form.
+    pub binary: bool,
+}
+
+/// What a host has said.
+#[derive(Clone, Debug, PartialEq)]
+pub enum HostMessage {
+    /// It has welcomed us.
+    Ready,
+    /// It won't have us: an ErrorResponse during startup.
+    Unwelcome(String),
+    /// A query has ended, and what the host said of itself.
+    Done(Ending, Telling),
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+enum Stage {
+    #[default]
+    Starting,
+    Idle,
+    Busy(Progress),
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Progress {
+    bytes: Vec<u8>,
+    parts: Vec<Part>,
+    value: Option<Part>,
+    rows: usize,
+    binary: bool,
+    described: bool,
+    error: Option<String>,
+}
+
+/// The protocol's state for one connection to a host.
+#[derive(Debug, Default)]
+pub struct HostSide {
+    inbox: Inbox,
+    stage: Stage,
+    telling: Telling,
+}
+
+impl HostSide {
+    /// Takes bytes in.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.inbox.feed(bytes);
+    }
+
+    /// Whether a query may be written.
+    pub fn idle(&self) -> bool {
+        self.stage == Stage::Idle && self.inbox.is_empty()
+    }
+
+    /// A query is about to be written.
+    pub fn begin(&mut self) {
+        self.stage = Stage::Busy(Progress::default());
+        self.telling = Telling::default();
+    }
+
+    /// The connection has ended: how the query did, if an error had come that ends connections.
+    pub fn closed(&mut self) -> Option<(Ending, Telling)> {
+        let Stage::Busy(progress) = std::mem::take(&mut self.stage) else { return None };
+        progress.error.map(|code| (Ending::Error(code), std::mem::take(&mut self.telling)))
+    }
+
+    /// The next thing the host has said, if it has come whole.
+    pub fn next(&mut self) -> Result<Option<HostMessage>, ProtocolError> {
+        while let Some((kind, len)) = self.inbox.message(LONGEST)? {
+            let out = self.message(kind, len)?;
+            self.inbox.used(5 + len);
+            if out.is_some() {
+                return Ok(out);
+            }
+        }
+        Ok(None)
+    }
+
+    fn message(&mut self, kind: u8, len: usize) -> Result<Option<HostMessage>, ProtocolError> {
+        let (whole, body) = (&self.inbox.rest()[..5 + len], &self.inbox.rest()[5..5 + len]);
+        let wrong = |what: &str| Err(ProtocolError(format!("{what} (message {:?})", char::from(kind))));
+        match (kind, &mut self.stage) {
+            (b'S', _) => {
+                let Some((name, (value, _))) = text(body).and_then(|(n, rest)| Some((n, text(rest)?))) else {
+                    return wrong("a parameter without a value");
+                };
+                tell(&mut self.telling, name, value)?;
+            }
+            (b'N' | b'A', _) => {}
+            (b'R', Stage::Starting) if body == [0; 4] => {}
+            (b'R', Stage::Starting) => return wrong("a host that wants a password"),
+            (b'K' | b'v', Stage::Starting) => {}
+            (b'E', Stage::Starting) => {
+                let code = error_code(body).map(|c| String::from_utf8_lossy(c).into_owned());
+                return Ok(Some(HostMessage::Unwelcome(code.unwrap_or_default())));
+            }
+            (b'Z', stage @ Stage::Starting) => {
+                *stage = Stage::Idle;
+                return Ok(Some(HostMessage::Ready));
+            }
+            (b'Z', stage @ Stage::Busy(_)) => {
+                let Stage::Busy(p) = std::mem::replace(stage, Stage::Idle) else { return Ok(None) };
+                let ending = match p.error {
+                    Some(code) => Ending::Error(code),
+                    None if p.rows == 1 && p.parts.len() == 3 => {
+                        Ending::Row(Row { bytes: p.bytes, parts: p.parts, value: p.value, binary: p.binary })
+                    }
+                    None => Ending::Nothing,
+                };
+                return Ok(Some(HostMessage::Done(ending, std::mem::take(&mut self.telling))));
+            }
+            (b'E', Stage::Busy(p)) => {
+                let code = error_code(body).map(|c| String::from_utf8_lossy(c).into_owned());
+                p.error = Some(code.unwrap_or_default());
+            }
+            (b'I', Stage::Busy(_)) => {}
+            (b'T', Stage::Busy(p)) if !p.described && body.starts_with(&[0, 1]) => {
+                p.described = true;
+                p.binary = body.ends_with(&[0, 1]);
+                keep(p, whole)?;
+            }
+            (b'D', Stage::Busy(p)) if p.described && p.rows == 0 => {
+                let Some((&[0, 1, a, b, c, d], value)) = body.split_first_chunk::<6>() else {
+                    return wrong("a row of another shape");
+                };
+                let size = i32::from_be_bytes([a, b, c, d]);
+                if size >= 0 && size as usize != value.len() || size < -1 {
+                    return wrong("a value of another length");
+                }
+                p.rows += 1;
+                keep(p, whole)?;
+                p.value = (size >= 0).then(|| p.bytes.len() - size as usize..p.bytes.len());
+            }
+            (b'C', Stage::Busy(p)) if p.parts.len() < 3 => keep(p, whole)?,
+            _ => return wrong("a message out of order"),
+        }
+        Ok(None)
+    }
+}
+
+fn keep(p: &mut Progress, whole: &[u8]) -> Result<(), ProtocolError> {
+    let start = p.bytes.len();
+    if start + whole.len() > LONGEST_ANSWER {
+        return Err(ProtocolError("an answer that is too long".into()));
+    }
+    p.bytes.extend_from_slice(whole);
+    p.parts.push(start..p.bytes.len());
+    Ok(())
+}
+
+fn tell(telling: &mut Telling, name: &[u8], value: &[u8]) -> Result<(), ProtocolError> {
+    let word = std::str::from_utf8(value).unwrap_or_default().trim();
+    match (name, word) {
+        (b"rank", "source") => telling.primary = Some(true),
+        (b"rank", "copy") => telling.primary = Some(false),
+        (b"rank", _) => return Err(ProtocolError(format!("a rank of {word:.20?}"))),
+        (b"as_of", _) => {
+            let position = word.parse().ok().filter(|p| *p < LATEST_MS);
+            telling.as_of =
+                Some(position.ok_or_else(|| ProtocolError(format!("a position of {word:.40?}")))?);
+        }
+        (b"vitals", _) => telling.vitals = Some(word.to_string()),
+        _ => {}
+    }
+    Ok(())
+}
+
+/// The startup message to a host.
+pub fn startup() -> Vec<u8> {
+    let mut body = Vec::with_capacity(48);
+    body.extend(0x0003_0000u32.to_be_bytes());
+    for word in ["user", "svc", "database", "main"] {
+        put_text(&mut body, word);
+    }
+    body.push(0);
+    let mut out = ((body.len() + 4) as u32).to_be_bytes().to_vec();
+    out.extend(body);
+    out
+}
+
+/// A short query of our own.
+pub fn query(text: &str) -> Vec<u8> {
+    let mut out = Vec::with_capacity(text.len() + 6);
+    put(&mut out, b'Q', |out| put_text(out, text));
+    out
+}
+
+/// The head of a query whose text of `len` bytes and closing zero are written after it.
+pub fn query_head(len: usize) -> [u8; 5] {
+    let [a, b, c, d] = ((len + 5) as u32).to_be_bytes();
+    [b'Q', a, b, c, d]
+}
+
+/// The figures of a load report: `inflight=7,util=0.61`.
+pub fn report(text: &str) -> impl Iterator<Item = (&str, f64)> {
+    text.split(',').filter_map(|pair| {
+        let (name, value) = pair.split_once('=')?;
+        Some((name.trim(), value.trim().parse().ok().filter(|v: &f64| v.is_finite())?))
+    })
+}
--- /dev/null
+++ b/crates/router/src/routing/mod.rs
@@ -0,0 +1,469 @@
+//! Maps messages and the decisions' events onto each other; owns the decisions, requests, attempts and timers.
+//! Free of I/O: an input with its time goes in, effects come out. It decides nothing.
+
+mod clock;
+mod members;
+mod timers;
+
+pub use clock::Clock;
+
+use crate::protocol::discovery::HostList;
+use crate::protocol::host::{report, Ending, Row, Telling};
+use crate::protocol::statement::{Statement, StatementError};
+use basalthill_config::settings::{Reports, Site};
+use basalthill_policy::api::*;
+use basalthill_policy::Policy;
+use members::Members;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use timers::{Timer, TimerKey, Timers};
+
+/// A client's connection; at most one request of it is out at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ClientId(pub u64);
+
+/// One attempt of a request, or one probe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum ExchangeId {
+    /// An attempt of a request.
+    Attempt(RequestId, Attempt),
+    /// A probe, by its number.
+    Probe(u64),
+}
+
+/// How an exchange with a host ended, as transport saw it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Ended {
+    /// The host answered the query.
+    Answered(Ending, Telling),
+    /// The host would not have the connection: an ErrorResponse with this SQLSTATE during startup.
+    Unwelcome(String),
+    /// No connection, or it broke before the request's last byte was written.
+    NotSent,
+    /// The connection broke, or made no sense, after that.
+    Broken,
+}
+
+/// What comes in.
+#[derive(Debug)]
+pub enum Input {
+    /// A client's request.
+    Request(ClientId, Box<Statement>),
+    /// A client has gone away, or is gone already.
+    ClientGone(ClientId),
+    /// An exchange has ended.
+    Ended(ExchangeId, Ended),
+    /// Discovery has told something.
+    List(HostList),
+    /// Timers that are due may fire.
+    Tick,
+    /// The program is about to end: what is unanswered is failed.
+    Shutdown,
+}
+
+/// What a client gets.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// The row that a host gave for this request.
+    Served(Row),
+    /// Turned away: trying again does no harm, after so many milliseconds if told.
+    Refused(Option<u64>),
+    /// Ended without a promise.
+    Failed,
+    /// Not a request of ours.
+    Invalid(StatementError),
+}
+
+/// What is to be written for an exchange.
+#[derive(Clone, Debug)]
+pub enum Query {
+    /// A client's statement, with the time that the router will wait, in milliseconds.
+    Statement(Rc<Statement>, u64),
+    /// A query of our own.
+    Own(&'static str),
+}
+
+/// What is to be done.
+#[derive(Debug)]
+pub enum Effect {
+    /// Begin an exchange with the host at an address.
+    Begin(ExchangeId, SocketAddr, Query),
+    /// Give an exchange up.
+    Abandon(ExchangeId),
+    /// Answer a client.
+    Answer(ClientId, Answer),
+    /// Close the idle connections to an address.
+    CloseIdle(SocketAddr),
+    /// Ask discovery for the whole list.
+    Fetch,
+}
+
+/// A request that has an answer or attempts outstanding.
+struct Open {
+    client: ClientId,
+    statement: Rc<Statement>,
+    give_up: Time,
+    answered: bool,
+    attempts: Vec<Option<Exchange>>, // None once its outcome is told
+}
+
+/// An attempt or a probe that is out.
+#[derive(Clone, Copy)]
+struct Exchange {
+    member: MemberId,
+    sent: Time,
+    timer: TimerKey,
+}
+
+/// A router without its sockets.
+pub struct Router {
+    policy: Policy,
+    site: Site,
+    members: Members,
+    open: BTreeMap<RequestId, Open>,
+    by_client: BTreeMap<ClientId, RequestId>,
+    probes: BTreeMap<u64, Exchange>,
+    timers: Timers,
+    requests: u64,
+    probes_sent: u64,
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+}
+
+impl Router {
+    /// A router that has just started with the list as it last had it.
+    pub fn new(now: Time, site: Site, seed: u64, known: Option<HostList>, out: &mut Vec<Effect>) -> Router {
+        let policy = Policy::new(site.settings.clone(), seed);
+        let members = Members::new(&site.zones);
+        let mut router = Router {
+            policy,
+            site,
+            members,
+            open: BTreeMap::new(),
+            by_client: BTreeMap::new(),
+            probes: BTreeMap::new(),
+            timers: Timers::default(),
+            requests: 0,
+            probes_sent: 0,
+            events: VecDeque::new(),
+            actions: Vec::new(),
+        };
+        let entries = known.map(|list| router.members.take(list).1).unwrap_or_default();
+        router.events.push_back(Event::List(ListForm::Cached, entries));
+        router.run(now, out);
+        router
+    }
+
+    /// Takes an input; appends what is to be done.
+    pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Effect>) {
+        match input {
+            Input::Request(client, statement) => self.request(now, client, statement, out),
+            Input::ClientGone(client) => {
+                if let Some(id) = self.by_client.remove(&client) {
+                    self.close(id);
+                    self.events.push_back(Event::Lapsed(id));
+                }
+            }
+            Input::Ended(exchange, ended) => self.ended(now, exchange, ended, out),
+            Input::List(list) => {
+                let (form, entries) = self.members.take(list);
+                self.events.push_back(Event::List(form, entries));
+            }
+            Input::Tick => self.due(now, out),
+            Input::Shutdown => {
+                for (client, id) in std::mem::take(&mut self.by_client) {
+                    self.close(id);
+                    out.push(Effect::Answer(client, Answer::Failed));
+                    self.events.push_back(Event::Lapsed(id));
+                }
+            }
+        }
+        self.run(now, out);
+    }
+
+    /// When the next timer is due.
+    pub fn next_due(&self) -> Option<Time> {
+        self.timers.next()
+    }
+
+    /// Requests without an answer.
+    pub fn unanswered(&self) -> usize {
+        self.by_client.len()
+    }
+
+    /// Requests, probes and timers on the books; the decisions' own timer is among the last.
+    pub fn books(&self) -> (usize, usize, usize) {
+        (self.open.len(), self.probes.len(), self.timers.len())
+    }
+
+    /// Hands events to the decisions until none are left, and carries their actions over.
+    fn run(&mut self, now: Time, out: &mut Vec<Effect>) {
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.policy.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(now, action, out);
+            }
+            self.actions = actions;
+        }
+    }
+
+    fn act(&mut self, now: Time, action: Action, out: &mut Vec<Effect>) {
+        match action {
+            Action::Send(id, member, limit) => self.send(now, id, member, limit, out),
+            Action::Refuse(id, after) => {
+                let ms = after.map(|t| t.0.div_ceil(1_000_000));
+                self.answer(id, Answer::Refused(ms), out);
+            }
+            Action::Fail(id) => self.answer(id, Answer::Failed, out),
+            Action::Cancel(id, attempt) => {
+                if let Some(x) = self.take_attempt(id, attempt) {
+                    out.push(Effect::Abandon(ExchangeId::Attempt(id, attempt)));
+                    self.outcome(now, id, attempt, x, Status::Cancelled, Telling::default());
+                }
+            }
+            Action::Timer(after, token) => {
+                self.timers.add(now.plus(after), Timer::Policy(token));
+            }
+            Action::Probe(member) => {
+                let Some(addr) = self.members.addr(member) else {
+                    let none = Standing::default();
+                    return self.events.push_back(Event::Probed(
+                        member,
+                        Status::ConnectFailed,
+                        Time(0),
+                        none,
+                    ));
+                };
+                let number = self.probes_sent;
+                self.probes_sent += 1;
+                let timer = self.timers.add(now.plus(self.site.connect_timeout), Timer::Probe(number));
+                self.probes.insert(number, Exchange { member, sent: now, timer });
+                let text = if self.site.reports == Reports::None { "SELECT 1" } else { "SHOW vitals" };
+                out.push(Effect::Begin(ExchangeId::Probe(number), addr, Query::Own(text)));
+            }
+            Action::CloseIdle(member) => out.extend(self.members.addr(member).map(Effect::CloseIdle)),
+            Action::Watch => {} // a watch is always kept
+            Action::Fetch => out.push(Effect::Fetch),
+            Action::Log(line) => log::info!("{line}"),
+        }
+    }
+
+    fn request(&mut self, now: Time, client: ClientId, statement: Box<Statement>, out: &mut Vec<Effect>) {
+        let named = |names: &[String], word: &[u8]| names.iter().position(|n| n.as_bytes() == word);
+        let group = GroupId(statement.cluster);
+        let unknown = |what: &str| {
+            let error = StatementError { code: "22023", message: format!("{what} is unknown") };
+            Effect::Answer(client, Answer::Invalid(error))
+        };
+        let Some(class) = named(&self.site.classes, statement.class()) else {
+            return out.push(unknown("the class"));
+        };
+        if !self.members.has_group(group) {
+            return out.push(unknown("the cluster"));
+        }
+        // A tenant that the settings don't name is one without a share.
+        let tenant = named(&self.site.tenants, statement.tenant()).unwrap_or(self.site.tenants.len());
+        let id = RequestId(self.requests);
+        self.requests += 1;
+        let give_up = now.plus(Time::ms(statement.patience_ms));
+        let session = self.site.settings.classes[class].consistency == Consistency::Session
+            || self.site.settings.tokens == Tokens::Remembered;
+        let request = Request {
+            id,
+            class: ClassId(class as u16),
+            tenant: TenantId(tenant as u16),
+            session: session.then(|| SessionKey(hash(statement.key()))),
+            give_up,
+            group,
+            token: statement.after.map(|ms| now.since(unix_ms(ms))),
+            repeat: statement.repeat,
+        };
+        let statement = Rc::from(statement);
+        self.open.insert(id, Open { client, statement, give_up, answered: false, attempts: Vec::new() });
+        self.by_client.insert(client, id);
+        self.events.push_back(Event::Request(request));
+    }
+
+    fn send(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        member: MemberId,
+        limit: Option<Time>,
+        out: &mut Vec<Effect>,
+    ) {
+        let most = self.site.settings.max_attempts as usize;
+        let addr = self.members.addr(member);
+        let Some(open) = self.open.get_mut(&id) else {
+            return; // ended before: its attempts are told already
+        };
+        let attempt = Attempt(open.attempts.len() as u16);
+        if open.answered || open.attempts.len() >= most || now >= open.give_up {
+            open.attempts.push(None);
+            let x = Exchange { member, sent: now, timer: TimerKey::default() };
+            return self.outcome(now, id, attempt, x, Status::Moot, Telling::default());
+        }
+        let Some(addr) = addr else {
+            open.attempts.push(None);
+            let x = Exchange { member, sent: now, timer: TimerKey::default() };
+            return self.outcome(now, id, attempt, x, Status::ConnectFailed, Telling::default());
+        };
+        let left = open.give_up.since(now);
+        let wait = limit.unwrap_or(left).min(left);
+        let timer = self.timers.add(now.plus(wait), Timer::Attempt(id, attempt));
+        open.attempts.push(Some(Exchange { member, sent: now, timer }));
+        let patience = (wait.0 / 1_000_000).max(1);
+        let query = Query::Statement(Rc::clone(&open.statement), patience);
+        out.push(Effect::Begin(ExchangeId::Attempt(id, attempt), addr, query));
+    }
+
+    fn ended(&mut self, now: Time, exchange: ExchangeId, ended: Ended, out: &mut Vec<Effect>) {
+        match exchange {
+            ExchangeId::Attempt(id, attempt) => {
+                let Some(x) = self.take_attempt(id, attempt) else { return };
+                let (status, telling) = match ended {
+                    Ended::Answered(Ending::Row(row), telling) => {
+                        self.answer(id, Answer::Served(row), out);
+                        (Status::Ok, telling)
+                    }
+                    Ended::Answered(Ending::Error(code), telling) => (by_code(&code), telling),
+                    Ended::Answered(Ending::Nothing, telling) => (Status::Error, telling),
+                    Ended::Unwelcome(code) if code == "53300" => (Status::Full, Telling::default()),
+                    Ended::Unwelcome(_) | Ended::NotSent => (Status::ConnectFailed, Telling::default()),
+                    Ended::Broken => (Status::Reset, Telling::default()),
+                };
+                self.outcome(now, id, attempt, x, status, telling);
+            }
+            ExchangeId::Probe(number) => {
+                let Some(x) = self.take_probe(number) else { return };
+                let (status, report) = match ended {
+                    Ended::Answered(Ending::Row(row), _) => {
+                        let value = row.value.clone().map(|v| &row.bytes[v]).unwrap_or_default();
+                        (Status::Ok, self.reported(std::str::from_utf8(value).unwrap_or_default()))
+                    }
+                    Ended::Answered(..) => (Status::Error, Standing::default()),
+                    Ended::Unwelcome(code) if code == "53300" => (Status::Full, Standing::default()),
+                    Ended::Unwelcome(_) | Ended::NotSent => (Status::ConnectFailed, Standing::default()),
+                    Ended::Broken => (Status::Reset, Standing::default()),
+                };
+                self.events.push_back(Event::Probed(x.member, status, now.since(x.sent), report));
+            }
+        }
+    }
+
+    /// Fires the timers that are due now; those set meanwhile wait for the next time.
+    fn due(&mut self, now: Time, out: &mut Vec<Effect>) {
+        for (key, timer) in self.timers.due(now) {
+            match timer {
+                Timer::Policy(token) => {
+                    self.timers.cancel(key);
+                    self.events.push_back(Event::Timer(token));
+                }
+                Timer::Attempt(id, attempt) => {
+                    if let Some(x) = self.take_attempt(id, attempt) {
+                        out.push(Effect::Abandon(ExchangeId::Attempt(id, attempt)));
+                        self.outcome(now, id, attempt, x, Status::Timeout, Telling::default());
+                    }
+                }
+                Timer::Probe(number) => {
+                    if let Some(x) = self.take_probe(number) {
+                        out.push(Effect::Abandon(ExchangeId::Probe(number)));
+                        let (took, none) = (now.since(x.sent), Standing::default());
+                        self.events.push_back(Event::Probed(x.member, Status::Timeout, took, none));
+                    }
+                }
+            }
+            self.run(now, out);
+        }
+    }
+
+    /// The final answer: the client gets it unless it has had one.
+    fn answer(&mut self, id: RequestId, answer: Answer, out: &mut Vec<Effect>) {
+        let Some(open) = self.open.get(&id).filter(|o| !o.answered) else { return };
+        self.by_client.remove(&open.client);
+        out.push(Effect::Answer(open.client, answer));
+        self.close(id);
+    }
+
+    /// A request has ended; its row goes once no attempt is out.
+    fn close(&mut self, id: RequestId) {
+        if let Some(open) = self.open.get_mut(&id) {
+            open.answered = true;
+            if open.attempts.iter().all(Option::is_none) {
+                self.open.remove(&id);
+            }
+        }
+    }
+
+    /// Takes an attempt off the books, if it is out. Its request's row stays for [`Router::outcome`].
+    fn take_attempt(&mut self, id: RequestId, attempt: Attempt) -> Option<Exchange> {
+        let x = self.open.get_mut(&id)?.attempts.get_mut(usize::from(attempt.0))?.take()?;
+        self.timers.cancel(x.timer);
+        Some(x)
+    }
+
+    fn take_probe(&mut self, number: u64) -> Option<Exchange> {
+        let x = self.probes.remove(&number)?;
+        self.timers.cancel(x.timer);
+        Some(x)
+    }
+
+    /// Tells the one outcome of an attempt that has been taken off the books.
+    fn outcome(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        attempt: Attempt,
+        x: Exchange,
+        status: Status,
+        t: Telling,
+    ) {
+        let ended = self.open.get(&id).is_none_or(|o| o.answered);
+        if ended {
+            self.close(id);
+        }
+        let role = t.primary.map(|p| if p { Role::Primary } else { Role::Replica });
+        let standing = Standing { position: t.as_of.map(unix_ms), role };
+        let report = t.vitals.as_deref().map(|v| self.reported(v)).unwrap_or_default();
+        let took = now.since(x.sent);
+        let outcome =
+            Outcome { request: id, attempt, member: x.member, status, took, ended, standing, report };
+        self.events.push_back(Event::Outcome(outcome));
+    }
+
+    /// What a load report says of its member's standing.
+    fn reported(&self, text: &str) -> Standing {
+        let mut standing = Standing::default();
+        for (name, value) in report(text).filter(|(name, _)| self.site.columns.iter().any(|c| c == name)) {
+            match name {
+                // Rounded down past the error of a float of this size.
+                "x0" if value > 0.0 => {
+                    standing.position = Some(Time((value * 1e6) as u64 * 1000).minus(Time(1000)))
+                }
+                "x1" => standing.role = Some(if value >= 0.5 { Role::Primary } else { Role::Replica }),
+                _ => {}
+            }
+        }
+        standing
+    }
+}
+
+fn by_code(code: &str) -> Status {
+    match code {
+        "25006" | "72000" => Status::Miss,
+        "53300" => Status::Full,
+        _ => Status::Error,
+    }
+}
+
+/// A Unix time in milliseconds on the decisions' clock.
+fn unix_ms(ms: u64) -> Time {
+    Time(ms.saturating_mul(1_000_000))
+}
+
+/// FNV-1a: a session's number from its key.
+fn hash(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3))
+}
--- /dev/null
+++ b/crates/router/src/transport/client.rs
@@ -0,0 +1,160 @@
+//! One client's connection.
+
+use super::budget::Permit;
+use super::{io, Hub};
+use crate::protocol::client::{self, ClientMessage, ClientSide, LONGEST};
+use crate::protocol::frames::READY;
+use crate::protocol::statement::Statement;
+use crate::routing::{Answer, ClientId, Input};
+use async_io::Async;
+use futures_lite::future;
+use std::cell::RefCell;
+use std::future::poll_fn;
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::task::{Poll, Waker};
+
+/// Where a client's answer is left for its task.
+#[derive(Default)]
+pub struct Slot {
+    answer: RefCell<Option<Answer>>,
+    waker: RefCell<Option<Waker>>,
+}
+
+impl Slot {
+    /// Leaves an answer.
+    pub fn answer(&self, answer: Answer) {
+        *self.answer.borrow_mut() = Some(answer);
+        self.wake();
+    }
+
+    /// Wakes the task to look round.
+    pub fn wake(&self) {
+        if let Some(waker) = self.waker.borrow_mut().take() {
+            waker.wake();
+        }
+    }
+
+    async fn until<T>(&self, mut look: impl FnMut() -> Option<T>) -> T {
+        poll_fn(|cx| match look() {
+            Some(found) => Poll::Ready(found),
+            None => {
+                *self.waker.borrow_mut() = Some(cx.waker().clone());
+                Poll::Pending
+            }
+        })
+        .await
+    }
+}
+
+/// A client on the hub's books; off them when dropped, and its request with it.
+struct Seat {
+    hub: Rc<Hub>,
+    id: ClientId,
+    slot: Rc<Slot>,
+    _permit: Permit,
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.hub.clients.borrow_mut().remove(&self.id);
+        self.hub.input(Input::ClientGone(self.id));
+        self.hub.settled.notify();
+    }
+}
+
+/// Why a connection has come to its end.
+struct Over;
+
+/// Serves a client until its connection ends.
+pub async fn run(hub: Rc<Hub>, id: ClientId, stream: Async<TcpStream>, permit: Option<Permit>) {
+    let _ = stream.get_ref().set_nodelay(true);
+    let Some(permit) = permit else {
+        log::warn!("no descriptor left for a client");
+        let _ = io::write(&stream, &[&client::fatal("53300", "too many connections")]).await;
+        return;
+    };
+    let slot = Rc::new(Slot::default());
+    hub.clients.borrow_mut().insert(id, Rc::clone(&slot));
+    let seat = Seat { hub, id, slot, _permit: permit };
+    let mut side = ClientSide::default();
+    while let Ok(()) = turn(&seat, &stream, &mut side).await {}
+}
+
+/// Takes the next message and answers it.
+async fn turn(seat: &Seat, stream: &Async<TcpStream>, side: &mut ClientSide) -> Result<(), Over> {
+    let message = match side.next() {
+        Ok(Some(message)) => message,
+        Ok(None) => return more(seat, stream, side).await,
+        Err(e) => {
+            log::debug!("client: {e}");
+            let _ = io::write(stream, &[&client::fatal("08P01", &e.to_string())]).await;
+            return Err(Over);
+        }
+    };
+    let reply = match message {
+        ClientMessage::Encryption => client::NO_ENCRYPTION.to_vec(),
+        ClientMessage::CancelRequest | ClientMessage::Terminate => return Err(Over),
+        ClientMessage::Startup { newer } => client::welcome(newer),
+        ClientMessage::Unsupported(b'F') => client::error("0A000", "only simple queries are served", None),
+        ClientMessage::Unsupported(_) => client::unsupported(),
+        ClientMessage::Sync => READY.to_vec(),
+        ClientMessage::Query(text) if text.trim_ascii().is_empty() => client::empty_query(),
+        ClientMessage::Query(text) => match Statement::parse(text) {
+            Ok(statement) => return request(seat, stream, side, statement).await,
+            Err(e) => client::error(e.code, &e.message, None),
+        },
+    };
+    io::write(stream, &[&reply]).await.map_err(|_| Over)
+}
+
+/// Waits for more bytes; between requests a router that stops closes its connections.
+async fn more(seat: &Seat, stream: &Async<TcpStream>, side: &mut ClientSide) -> Result<(), Over> {
+    let closing = seat.slot.until(|| seat.hub.closing.get().then_some(Err(Over)));
+    let fill = async {
+        match io::read(&seat.hub, stream, |bytes| side.feed(bytes)).await {
+            Ok(1..) => Ok(()),
+            _ => Err(Over),
+        }
+    };
+    future::or(fill, closing).await
+}
+
+async fn request(
+    seat: &Seat,
+    stream: &Async<TcpStream>,
+    side: &mut ClientSide,
+    statement: Statement,
+) -> Result<(), Over> {
+    seat.hub.input(Input::Request(seat.id, Box::new(statement)));
+    let answer = loop {
+        let ready = async { Ok(Some(seat.slot.until(|| seat.slot.answer.borrow_mut().take()).await)) };
+        // What comes meanwhile waits for its turn; a client that closes has gone away.
+        let full = side.waiting() > LONGEST;
+        let fill = async {
+            if full {
+                future::pending::<()>().await;
+            }
+            match io::read(&seat.hub, stream, |bytes| side.feed(bytes)).await {
+                Ok(1..) => Ok(None),
+                _ => Err(Over),
+            }
+        };
+        if let Some(answer) = future::or(ready, fill).await? {
+            break answer;
+        }
+    };
+    let reply = match answer {
+        Answer::Served(row) => {
+            let part = |n: usize| &row.bytes[row.parts[n].clone()];
+            return io::write(stream, &[part(0), part(1), part(2), READY]).await.map_err(|_| Over);
+        }
+        Answer::Refused(after) => {
+            let detail = after.map(|ms| ms.to_string());
+            client::error("53300", "turned away; trying again does no harm", detail.as_deref())
+        }
+        Answer::Failed => client::error("58000", "no answer could be had", None),
+        Answer::Invalid(e) => client::error(e.code, &e.message, None),
+    };
+    io::write(stream, &[&reply]).await.map_err(|_| Over)
+}
--- /dev/null
+++ b/crates/router/src/transport/exchange.rs
@@ -0,0 +1,102 @@
+//! One query at one host: on a pooled connection, or on a new one. Nothing is sent twice.
+
+use super::pool::HostConnection;
+use super::{io, Hub};
+use crate::protocol::host::{self, HostMessage, HostSide};
+use crate::routing::{Ended, Query};
+use async_io::{Async, Timer};
+use futures_lite::future;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+
+/// Runs a query to its end. Dropped before that, it closes its connection: an answer that comes late must not
+/// meet the next request.
+pub async fn run(hub: &Rc<Hub>, addr: SocketAddr, query: Query) -> Ended {
+    let mut connection = match hub.pool.take(addr) {
+        Some(connection) => connection,
+        None => match connect(hub, addr).await {
+            Ok(connection) => connection,
+            Err(ended) => return ended,
+        },
+    };
+    connection.side.begin();
+    if let Err(e) = write(&connection.stream, &query).await {
+        log::debug!("{addr}: broke before the last byte: {e}");
+        return Ended::NotSent;
+    }
+    match answer(hub, addr, &mut connection).await {
+        Some(ended) => {
+            if connection.side.idle() && !hub.closing.get() {
+                hub.pool.put(addr, connection);
+            }
+            ended
+        }
+        None => Ended::Broken,
+    }
+}
+
+async fn connect(hub: &Rc<Hub>, addr: SocketAddr) -> Result<HostConnection, Ended> {
+    let Some(permit) = hub.permit() else {
+        log::warn!("{addr}: no descriptor left for a connection");
+        return Err(Ended::NotSent);
+    };
+    let up = async {
+        let stream = Async::<TcpStream>::connect(addr).await.map_err(|_| Ended::NotSent)?;
+        let _ = stream.get_ref().set_nodelay(true);
+        io::write(&stream, &[&host::startup()]).await.map_err(|_| Ended::NotSent)?;
+        let mut side = HostSide::default();
+        loop {
+            match side.next() {
+                Ok(Some(HostMessage::Ready)) => return Ok(HostConnection { stream, side, _permit: permit }),
+                Ok(Some(HostMessage::Unwelcome(code))) => return Err(Ended::Unwelcome(code)),
+                Ok(Some(HostMessage::Done(..))) => return Err(Ended::NotSent),
+                Ok(None) => {}
+                Err(e) => {
+                    log::warn!("{addr}: {e}");
+                    return Err(Ended::NotSent);
+                }
+            }
+            if !matches!(io::read(hub, &stream, |bytes| side.feed(bytes)).await, Ok(1..)) {
+                return Err(Ended::NotSent);
+            }
+        }
+    };
+    let late = async {
+        Timer::after(hub.connect_timeout).await;
+        Err(Ended::NotSent)
+    };
+    future::or(up, late).await
+}
+
+async fn write(stream: &Async<TcpStream>, query: &Query) -> std::io::Result<()> {
+    match query {
+        Query::Statement(statement, patience) => {
+            let (before, after) = statement.around_patience();
+            let figure = patience.to_string();
+            let head = host::query_head(before.len() + figure.len() + after.len());
+            io::write(stream, &[&head, before, figure.as_bytes(), after, &[0]]).await
+        }
+        Query::Own(text) => io::write(stream, &[&host::query(text)]).await,
+    }
+}
+
+/// The host's answer; none if the connection ends or makes no sense before.
+async fn answer(hub: &Rc<Hub>, addr: SocketAddr, connection: &mut HostConnection) -> Option<Ended> {
+    let HostConnection { stream, side, .. } = connection;
+    loop {
+        match side.next() {
+            Ok(Some(HostMessage::Done(ending, telling))) => return Some(Ended::Answered(ending, telling)),
+            Ok(Some(_)) => return None,
+            Ok(None) => {}
+            Err(e) => {
+                log::warn!("{addr}: {e}");
+                return None;
+            }
+        }
+        if !matches!(io::read(hub, stream, |bytes| side.feed(bytes)).await, Ok(1..)) {
+            // An error that ends the connection comes without ReadyForQuery.
+            let (ending, telling) = side.closed()?;
+            return Some(Ended::Answered(ending, telling));
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/transport/mod.rs
@@ -0,0 +1,247 @@
+//! Sockets: listener, clients, connections to hosts, discovery's watch and timers, all on one thread. It carries
+//! out what routing says and tells it what happened.
+
+mod budget;
+mod client;
+mod exchange;
+mod io;
+mod pool;
+mod signal;
+mod watch;
+
+use crate::protocol::discovery::HostList;
+use crate::routing::{Answer, ClientId, Clock, Effect, Ended, ExchangeId, Input, Query, Router};
+use async_executor::{LocalExecutor, Task};
+use async_io::{Async, Timer};
+use basalthill_config::router::{stop_limit, RouterConfig, IDLE_SHARE, SOCKETS_RESERVED, STOP_SERVING};
+use basalthill_policy::api::Time;
+use budget::{Budget, Permit};
+use client::Slot;
+use futures_lite::future;
+use pool::Pool;
+use signal::Signal;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How often idle connections are looked through.
+const TIDY_EVERY: Duration = Duration::from_millis(500);
+/// After a failed accept, the listener rests this long.
+const ACCEPT_REST: Duration = Duration::from_millis(10);
+/// Bytes read at a time.
+const READ_AT_ONCE: usize = 64 * 1024;
+
+/// What all tasks of a router share.
+struct Hub {
+    clock: Clock,
+    router: RefCell<Router>,
+    executor: RefCell<Option<Rc<LocalExecutor<'static>>>>,
+    clients: RefCell<BTreeMap<ClientId, Rc<Slot>>>,
+    exchanges: RefCell<BTreeMap<ExchangeId, Task<()>>>,
+    pool: Pool,
+    budget: Budget,
+    scratch: RefCell<Vec<u8>>,
+    armed: Cell<Time>,
+    rearm: Signal,
+    fetch: Signal,
+    settled: Signal,
+    closing: Cell<bool>,
+    connect_timeout: Duration,
+}
+
+impl Hub {
+    /// Hands an input to routing and carries out what comes of it.
+    fn input(self: &Rc<Hub>, input: Input) {
+        let mut effects = Vec::new();
+        self.router.borrow_mut().handle(self.clock.now(), input, &mut effects);
+        self.carry_out(effects);
+    }
+
+    fn carry_out(self: &Rc<Hub>, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Begin(id, addr, query) => self.begin(id, addr, query),
+                Effect::Abandon(id) => drop(self.exchanges.borrow_mut().remove(&id)),
+                Effect::Answer(client, answer) => self.answer(client, answer),
+                Effect::CloseIdle(addr) => self.pool.close(addr),
+                Effect::Fetch => self.fetch.notify(),
+            }
+        }
+        let router = self.router.borrow();
+        if router.next_due().is_some_and(|due| due < self.armed.get()) {
+            self.rearm.notify();
+        }
+        if router.unanswered() == 0 {
+            self.settled.notify();
+        }
+    }
+
+    /// Spawns a task, unless the router is being taken down.
+    fn spawn(&self, task: impl Future<Output = ()> + 'static) -> Option<Task<()>> {
+        Some(self.executor.borrow().as_ref()?.spawn(task))
+    }
+
+    fn begin(self: &Rc<Hub>, id: ExchangeId, addr: SocketAddr, query: Query) {
+        let hub = Rc::clone(self);
+        let task = self.spawn(async move {
+            let ended = exchange::run(&hub, addr, query).await;
+            hub.finished(id, ended);
+        });
+        self.exchanges.borrow_mut().extend(task.map(|t| (id, t)));
+    }
+
+    /// An exchange's task has come to its end; called from within it.
+    fn finished(self: &Rc<Hub>, id: ExchangeId, ended: Ended) {
+        if let Some(task) = self.exchanges.borrow_mut().remove(&id) {
+            task.detach();
+        }
+        self.input(Input::Ended(id, ended));
+    }
+
+    fn answer(&self, client: ClientId, answer: Answer) {
+        if let Some(slot) = self.clients.borrow().get(&client) {
+            slot.answer(answer);
+        }
+    }
+
+    /// A descriptor from the budget; idle connections to hosts make room.
+    fn permit(&self) -> Option<Permit> {
+        self.budget.take().or_else(|| {
+            self.pool.close_oldest();
+            self.budget.take()
+        })
+    }
+}
+
+/// Serves until `stop` ends, then takes the router down in good order.
+pub fn serve(
+    listener: TcpListener,
+    config: RouterConfig,
+    stop: impl Future<Output = ()>,
+) -> std::io::Result<()> {
+    let listener = Async::new(listener)?;
+    let clock = Clock::anchored();
+    let known = match config.known {
+        serde_json::Value::Null => None,
+        value => match serde_json::from_value::<HostList>(value) {
+            Ok(list) => Some(list),
+            Err(e) => {
+                log::warn!("known: {e}; waiting for discovery");
+                None
+            }
+        },
+    };
+    let from = known.as_ref().map(|list| list.version);
+    let limit = stop_limit(&config.site);
+    let connect_timeout = Duration::from_nanos(config.site.connect_timeout.0);
+    let idle = Duration::from_nanos(config.site.conn_idle.times(IDLE_SHARE).0);
+    let mut effects = Vec::new();
+    let router = Router::new(clock.now(), config.site, config.seed, known, &mut effects);
+    let executor = Rc::new(LocalExecutor::new());
+    let hub = Rc::new(Hub {
+        clock,
+        router: RefCell::new(router),
+        executor: RefCell::new(Some(Rc::clone(&executor))),
+        clients: RefCell::default(),
+        exchanges: RefCell::default(),
+        pool: Pool::new(idle),
+        budget: Budget::new(config.limits.sockets.saturating_sub(SOCKETS_RESERVED)),
+        scratch: RefCell::new(vec![0; READ_AT_ONCE]),
+        armed: Cell::new(Time(u64::MAX)),
+        rearm: Signal::default(),
+        fetch: Signal::default(),
+        settled: Signal::default(),
+        closing: Cell::new(false),
+        connect_timeout,
+    });
+    hub.carry_out(effects);
+    let listening = hub.spawn(accept(Rc::clone(&hub), listener));
+    let always = [
+        hub.spawn(watch::run(Rc::clone(&hub), config.discovery, from)),
+        hub.spawn(timers(Rc::clone(&hub))),
+        hub.spawn(tidy(Rc::clone(&hub))),
+    ];
+    async_io::block_on(executor.run(async {
+        stop.await;
+        stop_in_order(&hub, listening, limit).await;
+    }));
+    drop(always);
+    // Without an executor the hub spawns nothing more; dropping the last handle ends every task.
+    hub.executor.borrow_mut().take();
+    Ok(())
+}
+
+/// Goes on as usual for a while, then takes nothing new, and ends once all is answered or the limit has come.
+async fn stop_in_order(hub: &Rc<Hub>, listening: Option<Task<()>>, limit: Time) {
+    let stopped = hub.clock.now();
+    log::info!("stopping: {} requests unanswered", hub.router.borrow().unanswered());
+    Timer::after(Duration::from_nanos(STOP_SERVING.0)).await;
+    drop(listening);
+    hub.closing.set(true);
+    hub.clients.borrow().values().for_each(|slot| slot.wake());
+    let done = async {
+        while !hub.clients.borrow().is_empty() {
+            hub.settled.wait().await;
+        }
+    };
+    let end = hub.clock.instant(stopped.plus(limit));
+    let late = async {
+        Timer::at(end).await;
+        hub.input(Input::Shutdown);
+        Timer::after(TIDY_EVERY / 5).await;
+    };
+    future::or(done, late).await;
+    log::info!("stopped");
+}
+
+async fn accept(hub: Rc<Hub>, listener: Async<TcpListener>) {
+    let mut count = 0;
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                count += 1;
+                let permit = hub.permit();
+                if let Some(task) = hub.spawn(client::run(Rc::clone(&hub), ClientId(count), stream, permit)) {
+                    task.detach();
+                }
+            }
+            Err(e) => {
+                log::warn!("accept: {e}");
+                hub.pool.close_oldest();
+                Timer::after(ACCEPT_REST).await;
+            }
+        }
+    }
+}
+
+/// Lets routing's timers fire, never early.
+async fn timers(hub: Rc<Hub>) {
+    loop {
+        let due = hub.router.borrow().next_due();
+        hub.armed.set(due.unwrap_or(Time(u64::MAX)));
+        match due {
+            Some(due) if due <= hub.clock.now() => {
+                hub.input(Input::Tick);
+                future::yield_now().await;
+            }
+            Some(due) => {
+                let at = hub.clock.instant(due);
+                let sleep = async {
+                    Timer::at(at).await;
+                };
+                future::or(sleep, hub.rearm.wait()).await;
+            }
+            None => hub.rearm.wait().await,
+        }
+    }
+}
+
+async fn tidy(hub: Rc<Hub>) {
+    loop {
+        Timer::after(TIDY_EVERY).await;
+        hub.pool.tidy();
+    }
+}
--- /dev/null
+++ b/crates/router/src/transport/pool.rs
@@ -0,0 +1,79 @@
+//! Idle connections to hosts. A connection is either here or with the one exchange that uses it.
+
+use super::budget::Permit;
+use super::io;
+use crate::protocol::host::HostSide;
+use async_io::Async;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+/// A connection to a host that has welcomed us.
+pub struct HostConnection {
+    /// Its socket.
+    pub stream: Async<TcpStream>,
+    /// Its protocol's state.
+    pub side: HostSide,
+    /// Its descriptor.
+    pub _permit: Permit,
+}
+
+struct Idle {
+    connection: HostConnection,
+    since: Instant,
+}
+
+/// Idle connections by address, the one used last at the end.
+pub struct Pool {
+    idle: RefCell<BTreeMap<SocketAddr, Vec<Idle>>>,
+    longest: Duration,
+}
+
+impl Pool {
+    /// An empty pool that closes what has been idle for `longest`.
+    pub fn new(longest: Duration) -> Pool {
+        Pool { idle: RefCell::default(), longest }
+    }
+
+    /// Takes the connection used last that is still open.
+    pub fn take(&self, addr: SocketAddr) -> Option<HostConnection> {
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.get_mut(&addr)?;
+        while let Some(last) = list.pop() {
+            if last.since.elapsed() < self.longest && io::silent(&last.connection.stream) {
+                return Some(last.connection);
+            }
+        }
+        None
+    }
+
+    /// Takes a connection in.
+    pub fn put(&self, addr: SocketAddr, connection: HostConnection) {
+        let idle = Idle { connection, since: Instant::now() };
+        self.idle.borrow_mut().entry(addr).or_default().push(idle);
+    }
+
+    /// Closes the idle connections to an address.
+    pub fn close(&self, addr: SocketAddr) {
+        self.idle.borrow_mut().remove(&addr);
+    }
+
+    /// Closes the connection that has been idle for longest.
+    pub fn close_oldest(&self) {
+        let mut idle = self.idle.borrow_mut();
+        let oldest = idle.iter().filter_map(|(addr, list)| Some((list.first()?.since, *addr))).min();
+        if let Some(list) = oldest.and_then(|(_, addr)| idle.get_mut(&addr)) {
+            list.remove(0);
+        }
+    }
+
+    /// Closes what has been idle for too long or was closed by its host.
+    pub fn tidy(&self) {
+        let mut idle = self.idle.borrow_mut();
+        for list in idle.values_mut() {
+            list.retain(|i| i.since.elapsed() < self.longest && io::silent(&i.connection.stream));
+        }
+        idle.retain(|_, list| !list.is_empty());
+    }
+}
