Connections that end are parted from cleanly; the log tells how it goes; examples run by a test

A connection closed with bytes unread is reset, and its client may lose the answer written last: after a fatal error the router now ends its sending and reads on for half a second at most. A tally is logged every ten seconds, changes of the list as they come. The toy takes its addresses, so that a test can follow examples/README.md on ports of its own.

--- a/crates/router/src/program/mod.rs
+++ b/crates/router/src/program/mod.rs
@@ -136,7 +136,8 @@
             return ExitCode::FAILURE;
         }
     };
-    log::info!("{} listens on {}", config.name, config.listen);
+    let listen = listener.local_addr().unwrap_or(config.listen);
+    log::info!("{} listens on {listen}", config.name);
     let stop = async move {
         signals.next().await;
     };
--- a/crates/router/src/routing/members.rs
+++ b/crates/router/src/routing/members.rs
@@ -1,6 +1,6 @@
 //! Members by the names that discovery gives them.
 
-use crate::protocol::discovery::{HostList, HostState};
+use crate::protocol::discovery::{HostEntry, HostList, HostState};
 use basalthill_policy::api::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -21,7 +21,15 @@
 
     /// Takes a list in, in the decisions' terms.
     pub fn take(&mut self, list: HostList) -> (ListForm, Vec<Entry>) {
+        let (version, full) = (list.version, list.full);
+        if full {
+            log::info!("list {version}: {} members", list.servers.len());
+        }
         let entries = list.servers.into_iter().map(|host| {
+            if !full {
+                let HostEntry { id, cell, state, started_ms, .. } = &host;
+                log::info!("list {version}: {id} in group {cell} is {state:?}, started at {started_ms}");
+            }
             let next = MemberId(self.addrs.len() as u32);
             let member = *self.ids.entry(host.id).or_insert(next);
             if member == next {
@@ -54,7 +62,7 @@
             }
         });
         let entries = entries.collect();
-        (if list.full { ListForm::Full } else { ListForm::Delta }, entries)
+        (if full { ListForm::Full } else { ListForm::Delta }, entries)
     }
 
     /// Where a member listens.
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -3,9 +3,11 @@
 
 mod clock;
 mod members;
+mod tally;
 mod timers;
 
 pub use clock::Clock;
+pub use tally::Tally;
 
 use crate::protocol::discovery::HostList;
 use crate::protocol::host::{report, Ending, Row, Telling};
@@ -127,6 +129,7 @@
     timers: Timers,
     requests: u64,
     probes_sent: u64,
+    tally: Tally,
     events: VecDeque<Event>,
     actions: Vec<Action>,
 }
@@ -146,6 +149,7 @@
             timers: Timers::default(),
             requests: 0,
             probes_sent: 0,
+            tally: Tally::default(),
             events: VecDeque::new(),
             actions: Vec::new(),
         };
@@ -161,6 +165,7 @@
             Input::Request(client, statement) => self.request(now, client, statement, out),
             Input::ClientGone(client) => {
                 if let Some(id) = self.by_client.remove(&client) {
+                    self.tally.left += 1;
                     self.close(id);
                     self.events.push_back(Event::Lapsed(id));
                 }
@@ -192,6 +197,11 @@
         self.by_client.len()
     }
 
+    /// What has happened since this was last asked.
+    pub fn tally(&mut self) -> Tally {
+        std::mem::take(&mut self.tally)
+    }
+
     /// Requests, probes and timers on the books; the decisions' own timer is among the last.
     pub fn books(&self) -> (usize, usize, usize) {
         (self.open.len(), self.probes.len(), self.timers.len())
@@ -253,7 +263,8 @@
     fn request(&mut self, now: Time, client: ClientId, statement: Box<Statement>, out: &mut Vec<Effect>) {
         let named = |names: &[String], word: &[u8]| names.iter().position(|n| n.as_bytes() == word);
         let group = GroupId(statement.cluster);
-        let unknown = |what: &str| {
+        let mut unknown = |what: &str| {
+            self.tally.invalid += 1;
             let error = StatementError { code: "22023", message: format!("{what} is unknown") };
             Effect::Answer(client, Answer::Invalid(error))
         };
@@ -350,7 +361,7 @@
                     Ended::Unwelcome(_) | Ended::NotSent => (Status::ConnectFailed, Standing::default()),
                     Ended::Broken => (Status::Reset, Standing::default()),
                 };
-                self.events.push_back(Event::Probed(x.member, status, now.since(x.sent), report));
+                self.probed(now, x, status, report);
             }
         }
     }
@@ -372,8 +383,7 @@
                 Timer::Probe(number) => {
                     if let Some(x) = self.take_probe(number) {
                         out.push(Effect::Abandon(ExchangeId::Probe(number)));
-                        let (took, none) = (now.since(x.sent), Standing::default());
-                        self.events.push_back(Event::Probed(x.member, Status::Timeout, took, none));
+                        self.probed(now, x, Status::Timeout, Standing::default());
                     }
                 }
             }
@@ -384,6 +394,12 @@
     /// The final answer: the client gets it unless it has had one.
     fn answer(&mut self, id: RequestId, answer: Answer, out: &mut Vec<Effect>) {
         let Some(open) = self.open.get(&id).filter(|o| !o.answered) else { return };
+        match answer {
+            Answer::Served(_) => self.tally.served += 1,
+            Answer::Refused(_) => self.tally.refused += 1,
+            Answer::Failed => self.tally.failed += 1,
+            Answer::Invalid(_) => self.tally.invalid += 1,
+        }
         self.by_client.remove(&open.client);
         out.push(Effect::Answer(open.client, answer));
         self.close(id);
@@ -422,6 +438,7 @@
         status: Status,
         t: Telling,
     ) {
+        self.tally.attempt(status);
         let ended = self.open.get(&id).is_none_or(|o| o.answered);
         if ended {
             self.close(id);
@@ -435,6 +452,13 @@
         self.events.push_back(Event::Outcome(outcome));
     }
 
+    /// Tells the one outcome of a probe that has been taken off the books.
+    fn probed(&mut self, now: Time, x: Exchange, status: Status, report: Standing) {
+        self.tally.probes += 1;
+        self.tally.probes_failed += u32::from(status != Status::Ok);
+        self.events.push_back(Event::Probed(x.member, status, now.since(x.sent), report));
+    }
+
     /// What a load report says of its member's standing.
     fn reported(&self, text: &str) -> Standing {
         let mut standing = Standing::default();
--- /dev/null
+++ b/crates/router/src/routing/tally.rs
@@ -0,0 +1,63 @@
+//! Counts for the log, since they were last read.
+
+use basalthill_policy::api::Status;
+use std::fmt;
+
+/// What has happened since the last look.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Requests served.
+    pub served: u32,
+    /// Requests refused.
+    pub refused: u32,
+    /// Requests failed.
+    pub failed: u32,
+    /// Statements that were none of ours.
+    pub invalid: u32,
+    /// Clients that left before their answer.
+    pub left: u32,
+    /// Ends of attempts, by status.
+    attempts: [u32; STATUSES.len()],
+    /// Probes that ended.
+    pub probes: u32,
+    /// Probes among them that failed.
+    pub probes_failed: u32,
+}
+
+const STATUSES: [(Status, &str); 9] = [
+    (Status::Ok, "ok"),
+    (Status::Miss, "miss"),
+    (Status::Error, "error"),
+    (Status::Full, "full"),
+    (Status::Timeout, "timeout"),
+    (Status::ConnectFailed, "no connection"),
+    (Status::Reset, "reset"),
+    (Status::Cancelled, "cancelled"),
+    (Status::Moot, "moot"),
+];
+
+impl Tally {
+    /// An attempt has ended.
+    pub fn attempt(&mut self, status: Status) {
+        if let Some(n) = STATUSES.iter().position(|(s, _)| *s == status) {
+            self.attempts[n] += 1;
+        }
+    }
+
+    /// How many attempts have ended so.
+    pub fn attempts(&self, status: Status) -> u32 {
+        STATUSES.iter().zip(self.attempts).find(|((s, _), _)| *s == status).map_or(0, |(_, n)| n)
+    }
+}
+
+impl fmt::Display for Tally {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Tally { served, refused, failed, invalid, left, attempts, probes, probes_failed } = self;
+        write!(f, "{served} served, {refused} refused, {failed} failed, {invalid} invalid, {left} left;")?;
+        write!(f, " attempts:")?;
+        for ((_, name), n) in STATUSES.iter().zip(attempts).filter(|(_, n)| **n > 0) {
+            write!(f, " {n} {name},")?;
+        }
+        write!(f, " {} in all; probes: {probes}, {probes_failed} failed", attempts.iter().sum::<u32>())
+    }
+}
--- a/crates/router/src/transport/budget.rs
+++ b/crates/router/src/transport/budget.rs
@@ -15,6 +15,11 @@
         Budget(Rc::new(Cell::new(sockets)))
     }
 
+    /// How many are left.
+    pub fn left(&self) -> usize {
+        self.0.get()
+    }
+
     /// Takes one, if any is left.
     pub fn take(&self) -> Option<Permit> {
         let left = self.0.get().checked_sub(1)?;
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -71,7 +71,9 @@
     let _ = stream.get_ref().set_nodelay(true);
     let Some(permit) = permit else {
         log::warn!("no descriptor left for a client");
-        let _ = io::write(&stream, &[&client::fatal("53300", "too many connections")]).await;
+        if io::write(&stream, &[&client::fatal("53300", "too many connections")]).await.is_ok() {
+            io::part(&hub, &stream).await;
+        }
         return;
     };
     let slot = Rc::new(Slot::default());
@@ -88,7 +90,9 @@
         Ok(None) => return more(seat, stream, side).await,
         Err(e) => {
             log::debug!("client: {e}");
-            let _ = io::write(stream, &[&client::fatal("08P01", &e.to_string())]).await;
+            if io::write(stream, &[&client::fatal("08P01", &e.to_string())]).await.is_ok() {
+                io::part(&seat.hub, stream).await;
+            }
             return Err(Over);
         }
     };
--- a/crates/router/src/transport/io.rs
+++ b/crates/router/src/transport/io.rs
@@ -1,9 +1,14 @@
 //! Reading into a state machine and writing gathered parts, with the count of what went out.
 
 use super::Hub;
-use async_io::Async;
+use async_io::{Async, Timer};
+use futures_lite::future;
 use std::io::{self, ErrorKind, IoSlice, Read, Write};
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
+use std::time::Duration;
+
+/// A client that has been told that its connection ends has this long to close its side.
+const PART_WITHIN: Duration = Duration::from_millis(500);
 
 /// Reads what there is and feeds it; 0 at the end of the stream.
 pub async fn read(hub: &Hub, stream: &Async<TcpStream>, mut feed: impl FnMut(&[u8])) -> io::Result<usize> {
@@ -46,6 +51,16 @@
     Ok(())
 }
 
+/// Ends a connection so that what was written last arrives: with bytes unread, closing would reset it.
+pub async fn part(hub: &Hub, stream: &Async<TcpStream>) {
+    let _ = stream.get_ref().shutdown(Shutdown::Write);
+    let rest = async { while matches!(read(hub, stream, |_| {}).await, Ok(1..)) {} };
+    let enough = async {
+        Timer::after(PART_WITHIN).await;
+    };
+    future::or(rest, enough).await;
+}
+
 /// Whether an idle connection is still open and silent.
 pub fn silent(stream: &Async<TcpStream>) -> bool {
     let mut one = [0];
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -10,7 +10,7 @@
 mod watch;
 
 use crate::protocol::discovery::HostList;
-use crate::routing::{Answer, ClientId, Clock, Effect, Ended, ExchangeId, Input, Query, Router};
+use crate::routing::{Answer, ClientId, Clock, Effect, Ended, ExchangeId, Input, Query, Router, Tally};
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use basalthill_config::router::{stop_limit, RouterConfig, IDLE_SHARE, SOCKETS_RESERVED, STOP_SERVING};
@@ -25,10 +25,12 @@
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How often idle connections are looked through.
 const TIDY_EVERY: Duration = Duration::from_millis(500);
+/// How often the log tells how it goes.
+const TELL_EVERY: Duration = Duration::from_secs(10);
 /// After a failed accept, the listener rests this long.
 const ACCEPT_REST: Duration = Duration::from_millis(10);
 /// Bytes read at a time.
@@ -247,9 +249,22 @@
     }
 }
 
+/// Closes what has been idle for too long, and tells now and then how it goes.
 async fn tidy(hub: Rc<Hub>) {
+    let mut told = Instant::now();
     loop {
         Timer::after(TIDY_EVERY).await;
         hub.pool.tidy();
+        if told.elapsed() >= TELL_EVERY {
+            told = Instant::now();
+            let tally = hub.router.borrow_mut().tally();
+            if tally != Tally::default() {
+                let (clients, idle, left) = (hub.clients.borrow().len(), hub.pool.len(), hub.budget.left());
+                let open = hub.exchanges.borrow().len();
+                log::info!(
+                    "{tally}; {clients} clients, {open} exchanges, {idle} idle, {left} descriptors left"
+                );
+            }
+        }
     }
 }
--- a/crates/router/src/transport/pool.rs
+++ b/crates/router/src/transport/pool.rs
@@ -36,6 +36,11 @@
         Pool { idle: RefCell::default(), longest }
     }
 
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.idle.borrow().values().map(Vec::len).sum()
+    }
+
     /// Takes the connection used last that is still open.
     pub fn take(&self, addr: SocketAddr) -> Option<HostConnection> {
         let mut idle = self.idle.borrow_mut();
--- a/crates/router/tests/program.rs
+++ b/crates/router/tests/program.rs
@@ -4,9 +4,10 @@
 
 use basalthill_standin::client::{Answer, Client};
 use basalthill_standin::discovery::{list, Discovery};
-use basalthill_standin::host::{nobody, Host, Reply};
+use basalthill_standin::host::{Host, Reply};
 use common::{text, SETTINGS};
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 
@@ -65,25 +66,30 @@
 }
 
 /// A router started as in service, by its variables.
-fn started(host: &Host) -> (Child, std::net::SocketAddr) {
+fn started(host: &Host) -> (Child, SocketAddr) {
     let known = list(1, true, &[("s-1", host.addr, 2, "active", "source")]);
     let discovery = Discovery::start(known.clone()).unwrap();
-    let addr = nobody().unwrap();
     let text = format!(r#"{{"seed":"1","known":{known},"settings":{SETTINGS}}}"#);
     let mut child = program()
         .env("BALANCER_NAME", "n1")
-        .env("BALANCER_LISTEN", addr.to_string())
+        .env("BALANCER_LISTEN", "127.0.0.1:0")
         .env("BALANCER_DISCOVERY", discovery.addr.to_string())
-        .env("BALANCER_CONFIG", file(&format!("serve-{}", addr.port()), &text))
+        .env("BALANCER_CONFIG", file(&format!("serve-{}", host.addr.port()), &text))
         .stderr(Stdio::piped())
         .spawn()
         .unwrap();
-    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
-    assert!(lines.any(|line| line.unwrap().contains("listens on")));
-    std::thread::spawn(move || lines.for_each(drop));
+    let addr = after(child.stderr.take().unwrap(), "listens on ");
     (child, addr)
 }
 
+/// The address that a program prints after some words; what it prints later is read and dropped.
+fn after(stream: impl Read + Send + 'static, words: &str) -> SocketAddr {
+    let mut lines = BufReader::new(stream).lines();
+    let line = lines.find_map(|line| line.unwrap().split_once(words).map(|(_, rest)| rest.to_string()));
+    std::thread::spawn(move || lines.for_each(drop));
+    line.unwrap().trim().parse().unwrap()
+}
+
 fn signal(child: &Child, name: &str) {
     let status = Command::new("kill").args([&format!("-{name}"), &child.id().to_string()]).status().unwrap();
     assert!(status.success());
@@ -123,3 +129,35 @@
     let again = std::net::TcpListener::bind(addr);
     assert!(again.is_ok(), "the address is free again: {again:?}");
 }
+
+/// The commands of `examples/README.md`, with ports of this test's own.
+#[test]
+fn the_example_does_what_its_page_says() {
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let toy = PathBuf::from(env!("CARGO_BIN_EXE_basalthill")).with_file_name("examples").join("toy");
+    let mut deployment =
+        Command::new(&toy).args(["serve", "127.0.0.1:0"]).stdout(Stdio::piped()).spawn().unwrap();
+    let discovery = after(deployment.stdout.take().unwrap(), "discovery at ");
+    let mut router = program()
+        .args(["serve", "--config"])
+        .arg(root.join("examples/router.json"))
+        .env("BALANCER_LISTEN", "127.0.0.1:0")
+        .env("BALANCER_DISCOVERY", discovery.to_string())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let listen = after(router.stderr.take().unwrap(), "listens on ").to_string();
+    let page = std::fs::read_to_string(root.join("examples/README.md")).unwrap();
+    let asked: Vec<&str> = page.lines().filter_map(|l| l.split_once("-- ask ")).map(|a| a.1).collect();
+    assert_eq!(asked.len(), 2);
+    for statement in asked {
+        // A replica may answer before it has applied what was written a moment ago.
+        let ask = || Command::new(&toy).args(["ask", statement.trim_matches('"'), &listen]).output().unwrap();
+        let served = (0..100).any(|_| said(&ask()) == "served: hello\n");
+        assert!(served, "{statement}: {}", said(&ask()));
+    }
+    deployment.kill().unwrap();
+    signal(&router, "TERM");
+    assert_eq!(router.wait().unwrap().code(), Some(0));
+    deployment.wait().unwrap();
+}
--- a/crates/router/tests/transport.rs
+++ b/crates/router/tests/transport.rs
@@ -7,7 +7,7 @@
 use basalthill_router::transport;
 use basalthill_standin::client::{query, startup, Answer, Client};
 use basalthill_standin::discovery::{list, Discovery};
-use basalthill_standin::host::{nobody, Host, Reply, Telling};
+use basalthill_standin::host::{Host, Reply, Telling};
 use basalthill_standin::{unix_ms, Watched, PATIENCE};
 use common::{text, SETTINGS};
 use std::io::{Read, Write};
@@ -85,6 +85,11 @@
     .unwrap()
 }
 
+/// An address at which nobody listens: a port that only the machine's owner could open.
+fn nobody() -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, 1).into()
+}
+
 fn row(value: &[u8]) -> Answer {
     Answer::Row(value.to_vec())
 }
@@ -171,7 +176,7 @@
 
 #[test]
 fn a_refused_connection_is_no_attempt_that_ran() {
-    let known = list(1, true, &[("s-1", nobody().unwrap(), 2, "active", "source")]);
+    let known = list(1, true, &[("s-1", nobody(), 2, "active", "source")]);
     let discovery = Discovery::start(known.clone()).unwrap();
     let served = Served::start(&known, discovery.addr, 256, SETTINGS);
     assert_eq!(code(&served.client().ask(&text("write", "")).unwrap()), "53300");
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -53,15 +53,7 @@
 impl Host {
     /// Starts a host that answers each statement as `answers` says.
     pub fn start(answers: impl Fn(&str) -> (Reply, Telling) + Send + Sync + 'static) -> io::Result<Host> {
-        Host::start_at((Ipv4Addr::LOCALHOST, 0).into(), answers)
-    }
-
-    /// Starts a host at a given address.
-    pub fn start_at(
-        addr: SocketAddr,
-        answers: impl Fn(&str) -> (Reply, Telling) + Send + Sync + 'static,
-    ) -> io::Result<Host> {
-        let listener = TcpListener::bind(addr)?;
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
         let host = Host { addr: listener.local_addr()?, seen: Arc::default() };
         let (seen, answers): (_, Arc<Answers>) = (Arc::clone(&host.seen), Arc::new(answers));
         std::thread::spawn(move || {
@@ -97,11 +89,6 @@
     }
 }
 
-/// An address at which nobody listens.
-pub fn nobody() -> io::Result<SocketAddr> {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
-}
-
 fn message(kind: u8, body: &[u8]) -> Vec<u8> {
     let mut out = vec![kind];
     out.extend((body.len() as u32 + 4).to_be_bytes());
--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -1,33 +1,28 @@
 //! A toy deployment to try the router with: one primary, two replicas and discovery on this machine, and a
 //! client.
 //!
-//!     cargo run --example toy                    the deployment, until interrupted
-//!     cargo run --example toy -- ask STATEMENT   one statement to the router
+//!     cargo run --example toy -- serve [DISCOVERY]         the deployment, until interrupted
+//!     cargo run --example toy -- ask STATEMENT [ROUTER]    one statement to the router
 //!
-//! Addresses are those of `examples/router.json`.
+//! The addresses are those of `examples/router.json` unless given.
 
 use basalthill_standin::client::{Answer, Client};
 use basalthill_standin::discovery::{list, Discovery};
 use basalthill_standin::host::{Host, Reply, Telling};
 use basalthill_standin::unix_ms;
 use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::{Arc, Mutex};
 
-const ROUTER: u16 = 6432;
-const DISCOVERY: u16 = 6500;
-const PRIMARY: u16 = 6501;
+const ROUTER: &str = "127.0.0.1:6432";
+const DISCOVERY: &str = "127.0.0.1:6500";
 const GROUP: u32 = 1;
 /// How long a replica takes to apply what was written.
 const LAG_MS: u64 = 5;
 
 type Log = Arc<Mutex<BTreeMap<String, Vec<(u64, Vec<u8>)>>>>;
 
-fn at(port: u16) -> SocketAddr {
-    (Ipv4Addr::LOCALHOST, port).into()
-}
-
 /// The literals of a statement, without their quotes.
 fn literals(statement: &str) -> Vec<&str> {
     let before = statement.split("/*").next().unwrap_or_default();
@@ -65,24 +60,24 @@
     (reply, telling)
 }
 
-fn deployment() -> std::io::Result<()> {
+fn deployment(discovery: SocketAddr) -> std::io::Result<()> {
     let log = Log::default();
     let mut members = Vec::new();
     for (n, name) in ["toy-a", "toy-b", "toy-c"].into_iter().enumerate() {
-        let (addr, primary, log) = (at(PRIMARY + n as u16), n == 0, Arc::clone(&log));
-        Host::start_at(addr, move |statement| serve(&log, primary, statement))?;
+        let (primary, log) = (n == 0, Arc::clone(&log));
+        let addr = Host::start(move |statement| serve(&log, primary, statement))?.addr;
         members.push((name, addr, GROUP, "active", if primary { "source" } else { "copy" }));
         println!("{name} at {addr}, {}", if primary { "primary" } else { "replica" });
     }
-    let discovery = Discovery::start_at(at(DISCOVERY), list(1, true, &members))?;
+    let discovery = Discovery::start_at(discovery, list(1, true, &members))?;
     println!("discovery at {}", discovery.addr);
     loop {
         std::thread::park();
     }
 }
 
-fn ask(statement: &str) -> std::io::Result<()> {
-    match Client::connect(at(ROUTER))?.ask(statement)? {
+fn ask(statement: &str, router: SocketAddr) -> std::io::Result<()> {
+    match Client::connect(router)?.ask(statement)? {
         Answer::Row(value) => println!("served: {}", String::from_utf8_lossy(&value)),
         Answer::Empty => println!("ready"),
         Answer::Error(code, None) => println!("error {code}"),
@@ -93,13 +88,14 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
-    let done = match &arguments[..] {
-        [] => deployment(),
-        [word, statement] if word == "ask" => ask(statement),
-        _ => {
-            eprintln!("usage: toy [ask STATEMENT]");
-            return ExitCode::from(2);
-        }
+    let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    let address = |at: &str| at.parse().map_err(|e| std::io::Error::other(format!("{at}: {e}")));
+    let done = match words[..] {
+        ["serve"] => address(DISCOVERY).and_then(deployment),
+        ["serve", discovery] => address(discovery).and_then(deployment),
+        ["ask", statement] => address(ROUTER).and_then(|router| ask(statement, router)),
+        ["ask", statement, router] => address(router).and_then(|router| ask(statement, router)),
+        _ => Err(std::io::Error::other("usage: toy serve [DISCOVERY] | ask STATEMENT [ROUTER]")),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
