--- a/crates/config/src/router.rs
+++ b/crates/config/src/router.rs
@@ -42,7 +42,7 @@
 pub const SOCKETS_RESERVED: usize = 24;
 
 /// The share of the settings' idle time after which the router closes an idle connection itself, so that no
-/// request meets the member's closing.
+/// request meets the member's closing. A client idle for as long may be closed where descriptors are short.
 pub const IDLE_SHARE: f64 = 0.8;
 
 /// After the signal to stop, requests are taken as usual for this long: the front goes on dealing meanwhile.
--- a/crates/router/src/protocol/discovery.rs
+++ b/crates/router/src/protocol/discovery.rs
@@ -131,11 +131,12 @@
         }
     }
 
-    /// The connection has ended.
+    /// The connection has ended; what it has brought without its end is dropped.
     pub fn closed(&mut self) {
-        if matches!(self.stage, Stage::Plain(None)) {
-            self.stage = Stage::Over;
+        if !matches!(self.stage, Stage::Plain(None)) {
+            self.line.clear();
         }
+        self.stage = Stage::Over;
     }
 
     /// Uses some of what waits; whether there was enough of it.
@@ -219,3 +220,8 @@
     let line = format!("GET /discovery/hosts?watch=1{from} HTTP/1.1\r\nHost: {host}\r\nAccept: */*\r\n\r\n");
     line.into_bytes()
 }
+
+/// The request for the whole list.
+pub fn list_request(host: &str) -> Vec<u8> {
+    format!("GET /discovery/hosts HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n\r\n").into_bytes()
+}
--- a/crates/router/src/protocol/frames.rs
+++ b/crates/router/src/protocol/frames.rs
@@ -30,6 +30,8 @@
             self.bytes.drain(..self.at);
             self.at = 0;
         }
+        // Grown to what is needed, not to twice that: many clients may be sending long statements at once.
+        self.bytes.reserve_exact(bytes.len());
         self.bytes.extend_from_slice(bytes);
     }
 
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -8,20 +8,34 @@
 use crate::routing::{Answer, ClientId, Input};
 use async_io::Async;
 use futures_lite::future;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
 use std::net::TcpStream;
 use std::rc::Rc;
 use std::task::{Poll, Waker};
+use std::time::{Duration, Instant};
 
-/// Where a client's answer is left for its task.
+/// Where a client's answer is left for its task, and how long the client has asked nothing.
 #[derive(Default)]
 pub struct Slot {
     answer: RefCell<Option<Answer>>,
     waker: RefCell<Option<Waker>>,
+    idle: Cell<Option<Instant>>,
+    ended: Cell<bool>,
 }
 
 impl Slot {
+    /// How long the client has asked nothing; zero while a request of it is out.
+    pub fn idle_for(&self) -> Duration {
+        self.idle.get().map(|since| since.elapsed()).unwrap_or_default()
+    }
+
+    /// Has the connection closed, if it is between two requests.
+    pub fn end(&self) {
+        self.ended.set(true);
+        self.wake();
+    }
+
     /// Leaves an answer.
     pub fn answer(&self, answer: Answer) {
         *self.answer.borrow_mut() = Some(answer);
@@ -67,15 +81,8 @@
 struct Over;
 
 /// Serves a client until its connection ends.
-pub async fn run(hub: Rc<Hub>, id: ClientId, stream: Async<TcpStream>, permit: Option<Permit>) {
+pub async fn run(hub: Rc<Hub>, id: ClientId, stream: Async<TcpStream>, permit: Permit) {
     let _ = stream.get_ref().set_nodelay(true);
-    let Some(permit) = permit else {
-        log::warn!("no descriptor left for a client");
-        if io::write(&stream, &[&client::fatal("53300", "too many connections")]).await.is_ok() {
-            io::part(&hub, &stream).await;
-        }
-        return;
-    };
     let slot = Rc::new(Slot::default());
     hub.clients.borrow_mut().insert(id, Rc::clone(&slot));
     let seat = Seat { hub, id, slot, _permit: permit };
@@ -83,6 +90,14 @@
     while let Ok(()) = turn(&seat, &stream, &mut side).await {}
 }
 
+/// Tells a client that there is no descriptor for it.
+pub async fn turn_away(hub: Rc<Hub>, stream: Async<TcpStream>, _door: Permit) {
+    log::warn!("no descriptor left for a client");
+    if io::write(&stream, &[&client::fatal("53300", "too many connections")]).await.is_ok() {
+        io::part(&hub, &stream).await;
+    }
+}
+
 /// Takes the next message and answers it.
 async fn turn(seat: &Seat, stream: &Async<TcpStream>, side: &mut ClientSide) -> Result<(), Over> {
     let message = match side.take() {
@@ -114,14 +129,18 @@
 
 /// Waits for more bytes; between requests a router that stops closes its connections.
 async fn more(seat: &Seat, stream: &Async<TcpStream>, side: &mut ClientSide) -> Result<(), Over> {
-    let closing = seat.slot.until(|| seat.hub.closing.get().then_some(Err(Over)));
+    let (hub, slot) = (&seat.hub, &seat.slot);
+    slot.idle.set(Some(Instant::now()));
+    let closing = slot.until(|| (hub.closing.get() || slot.ended.get()).then_some(Err(Over)));
     let fill = async {
-        match io::read(&seat.hub, stream, |bytes| side.feed(bytes)).await {
+        match io::read(hub, stream, |bytes| side.feed(bytes)).await {
             Ok(1..) => Ok(()),
             _ => Err(Over),
         }
     };
-    future::or(fill, closing).await
+    let more = future::or(fill, closing).await;
+    slot.idle.set(None);
+    more
 }
 
 async fn request(
--- a/crates/router/src/transport/exchange.rs
+++ b/crates/router/src/transport/exchange.rs
@@ -36,7 +36,7 @@
 }
 
 async fn connect(hub: &Rc<Hub>, addr: SocketAddr) -> Result<HostConnection, Ended> {
-    let Some(permit) = hub.permit() else {
+    let Some(permit) = hub.permit().await else {
         log::warn!("{addr}: no descriptor left for a connection");
         return Err(Ended::NotSent);
     };
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -45,6 +45,7 @@
     exchanges: RefCell<BTreeMap<ExchangeId, Task<()>>>,
     pool: Pool,
     budget: Budget,
+    doors: Budget,
     scratch: RefCell<Vec<u8>>,
     armed: Cell<Time>,
     rearm: Signal,
@@ -53,6 +54,7 @@
     listed: Signal,
     closing: Cell<bool>,
     connect_timeout: Duration,
+    idle: Duration,
 }
 
 impl Hub {
@@ -110,12 +112,23 @@
         }
     }
 
-    /// A descriptor from the budget; idle connections to hosts make room.
-    fn permit(&self) -> Option<Permit> {
-        self.budget.take().or_else(|| {
-            self.pool.close_oldest();
-            self.budget.take()
-        })
+    /// A descriptor from the budget. When it is spent, the connection to a host that has idled longest makes
+    /// room, or else the client that has.
+    async fn permit(&self) -> Option<Permit> {
+        if let Some(permit) = self.budget.take() {
+            return Some(permit);
+        }
+        self.pool.close_oldest();
+        if let Some(permit) = self.budget.take() {
+            return Some(permit);
+        }
+        let idle = |slot: &&Rc<Slot>| slot.idle_for() >= self.idle;
+        if let Some(slot) = self.clients.borrow().values().filter(idle).max_by_key(|s| s.idle_for()) {
+            slot.end();
+        }
+        // Its task is awake by now and ends before this one goes on.
+        future::yield_now().await;
+        self.budget.take()
     }
 }
 
@@ -153,6 +166,7 @@
         exchanges: RefCell::default(),
         pool: Pool::new(idle),
         budget: Budget::new(config.limits.sockets.saturating_sub(SOCKETS_RESERVED)),
+        doors: Budget::new(SOCKETS_RESERVED / 3),
         scratch: RefCell::new(vec![0; READ_AT_ONCE]),
         armed: Cell::new(Time(u64::MAX)),
         rearm: Signal::default(),
@@ -161,11 +175,13 @@
         listed: Signal::default(),
         closing: Cell::new(false),
         connect_timeout,
+        idle,
     });
     hub.carry_out(effects);
     let listening = hub.spawn(accept(Rc::clone(&hub), listener, named));
     let always = [
         hub.spawn(watch::run(Rc::clone(&hub), config.discovery, from)),
+        hub.spawn(watch::fetches(Rc::clone(&hub), config.discovery)),
         hub.spawn(timers(Rc::clone(&hub))),
         hub.spawn(tidy(Rc::clone(&hub))),
     ];
@@ -213,10 +229,20 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 count += 1;
-                let permit = hub.permit();
-                if let Some(task) = hub.spawn(client::run(Rc::clone(&hub), ClientId(count), stream, permit)) {
-                    task.detach();
-                }
+                let task = match hub.permit().await {
+                    Some(permit) => hub.spawn(client::run(Rc::clone(&hub), ClientId(count), stream, permit)),
+                    None => {
+                        // Few are turned away at a time, or they would hold more descriptors than there are.
+                        let door = loop {
+                            match hub.doors.take() {
+                                Some(door) => break door,
+                                None => drop(Timer::after(ACCEPT_REST).await),
+                            }
+                        };
+                        hub.spawn(client::turn_away(Rc::clone(&hub), stream, door))
+                    }
+                };
+                task.into_iter().for_each(Task::detach);
             }
             Err(e) => {
                 log::warn!("accept: {e}");
--- a/crates/router/src/transport/watch.rs
+++ b/crates/router/src/transport/watch.rs
@@ -1,7 +1,7 @@
 //! Discovery's watch: kept open, and opened again when it ends or falls silent.
 
 use super::{io, Hub};
-use crate::protocol::discovery::{watch_request, WatchMessage, WatchSide};
+use crate::protocol::discovery::{list_request, watch_request, WatchMessage, WatchSide};
 use crate::routing::Input;
 use async_io::{Async, Timer};
 use futures_lite::future;
@@ -20,8 +20,6 @@
     Failed(String),
     /// What came could not be read: the whole list is asked for next.
     Unreadable(String),
-    /// The whole list is wanted.
-    Fetch,
 }
 
 impl From<std::io::Error> for End {
@@ -37,7 +35,6 @@
     loop {
         let mut told = false;
         match follow(&hub, addr, &mut version, &mut told).await {
-            End::Fetch => version = None,
             End::Failed(error) => log::warn!("discovery: {error}; the watch is opened again, the list kept"),
             End::Unreadable(error) => {
                 log::warn!("discovery: {error}; the whole list is asked for, the old one kept");
@@ -51,14 +48,10 @@
 
 /// One watch, to its end.
 async fn follow(hub: &Rc<Hub>, addr: SocketAddr, version: &mut Option<u64>, told: &mut bool) -> End {
-    let connect = async { Ok(Async::<TcpStream>::connect(addr).await?) };
-    let stream = match future::or(connect, silence()).await {
+    let stream = match ask(addr, &watch_request(&addr.to_string(), *version)).await {
         Ok(stream) => stream,
         Err(end) => return end,
     };
-    if let Err(e) = io::write(&stream, &[&watch_request(&addr.to_string(), *version)]).await {
-        return e.into();
-    }
     let mut side = WatchSide::default();
     let mut over = None;
     loop {
@@ -70,7 +63,9 @@
                 continue;
             }
             Ok(Some(WatchMessage::Nothing)) => continue,
-            Ok(Some(WatchMessage::End)) => return End::Failed("the watch has ended".into()),
+            Ok(Some(WatchMessage::End)) => {
+                return over.unwrap_or_else(|| End::Failed("the watch has ended".into()))
+            }
             Ok(None) => {}
             Err(e) => return End::Unreadable(e.to_string()),
         }
@@ -83,11 +78,7 @@
                 _ => Ok(()),
             }
         };
-        let fetch = async {
-            hub.fetch.wait().await;
-            Err(End::Fetch)
-        };
-        if let Err(end) = future::or(read, future::or(fetch, silence())).await {
+        if let Err(end) = future::or(read, silence()).await {
             // A body that ends with its connection may hold a last line.
             side.closed();
             over = Some(end);
@@ -95,6 +86,47 @@
     }
 }
 
+/// Fetches the whole list, beside the watch, whenever it is asked for.
+pub async fn fetches(hub: Rc<Hub>, addr: SocketAddr) {
+    loop {
+        hub.fetch.wait().await;
+        if let Err(End::Failed(e) | End::Unreadable(e)) = fetch(&hub, addr).await {
+            log::warn!("discovery: fetching the list: {e}");
+        }
+    }
+}
+
+async fn fetch(hub: &Rc<Hub>, addr: SocketAddr) -> Result<(), End> {
+    let stream = ask(addr, &list_request(&addr.to_string())).await?;
+    let mut side = WatchSide::default();
+    loop {
+        match side.take().map_err(|e| End::Unreadable(e.to_string()))? {
+            Some(WatchMessage::List(list)) => {
+                hub.input(Input::List(list));
+                hub.listed.notify();
+            }
+            Some(WatchMessage::Nothing) => {}
+            Some(WatchMessage::End) => return Ok(()),
+            None => {
+                let read = async { Ok(io::read(hub, &stream, |bytes| side.feed(bytes)).await?) };
+                if future::or(read, silence()).await? == 0 {
+                    side.closed();
+                }
+            }
+        }
+    }
+}
+
+/// Connects and writes a request.
+async fn ask(addr: SocketAddr, request: &[u8]) -> Result<Async<TcpStream>, End> {
+    let asked = async {
+        let stream = Async::<TcpStream>::connect(addr).await?;
+        io::write(&stream, &[request]).await?;
+        Ok(stream)
+    };
+    future::or(asked, silence()).await
+}
+
 async fn silence<T>() -> Result<T, End> {
     Timer::after(SILENCE).await;
     Err(End::Failed("silent for too long".into()))
--- a/crates/router/tests/transport.rs
+++ b/crates/router/tests/transport.rs
@@ -370,3 +370,32 @@
     assert_eq!(client.answer().unwrap(), Answer::Empty);
     assert_eq!(client.ask(&text("write", "")).unwrap(), row(b"x"));
 }
+
+#[test]
+fn where_the_list_is_to_be_asked_for_it_is_fetched_beside_the_watch() {
+    let host = host(|_| Reply::Row(b"x".to_vec()));
+    let known = list(1, true, &[("s-1", host.addr, 2, "active", "source")]);
+    let discovery = Discovery::start(known.clone()).unwrap();
+    let settings = SETTINGS.replace("\"automatic\"", "\"subscribe\"");
+    let settings = settings.replace("\"rules\": {", "\"rules\": {\"askEvery\": 200000000, ");
+    let _served = Served::start(&known, discovery.addr, 256, &settings);
+    let fetched = |requests: &[String]| requests.iter().filter(|r| !r.contains("watch=1")).count() >= 2;
+    assert!(discovery.told.wait(|t| fetched(&t.requests).then_some(())).is_some());
+    let watches = discovery.told.lock().requests.iter().filter(|r| r.contains("watch=1")).count();
+    assert_eq!(watches, 1, "the watch stays open");
+}
+
+#[test]
+fn where_descriptors_are_short_the_client_that_has_idled_longest_makes_room() {
+    let host = host(|_| Reply::Row(b"x".to_vec()));
+    let known = list(1, true, &[("s-1", host.addr, 2, "active", "source")]);
+    let discovery = Discovery::start(known.clone()).unwrap();
+    let settings = SETTINGS.replace("\"connIdle\": 15000000000", "\"connIdle\": 400000000");
+    let served = Served::start(&known, discovery.addr, 48, &settings);
+    let mut idle: Vec<Client> = (0..24).map(|_| served.client()).collect();
+    let until = Instant::now() + PATIENCE;
+    let newcomer = std::iter::from_fn(|| (Instant::now() < until).then(|| Client::connect(served.addr)));
+    let mut newcomer = newcomer.flatten().next().expect("a newcomer gets in");
+    assert_eq!(newcomer.ask("").unwrap(), Answer::Empty);
+    assert!(idle[0].ended(), "the one that came first made room");
+}
