A dead watch is noticed within five seconds; rows out of order, huge deadlines, held addresses

Discovery's news counts as told after six seconds: a watch that has died in silence was noticed after seven only (transport/watch.rs). A row after its completion was taken as an answer (protocol/host.rs). A deadline near the end of 64 bits overflowed in milliseconds (protocol/statement.rs). An address still held by an earlier process is waited for, five seconds at most.

--- a/crates/router/src/program/mod.rs
+++ b/crates/router/src/program/mod.rs
@@ -13,7 +13,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A query router for sharded, replicated databases.
 #[derive(Parser)]
@@ -50,6 +50,8 @@
 }
 
 const BAD_CONFIGURATION: u8 = 2;
+const LISTEN_WITHIN: Duration = Duration::from_secs(5);
+const LISTEN_AGAIN: Duration = Duration::from_millis(20);
 const READY_WITHIN: Duration = Duration::from_secs(2);
 
 /// Runs the program.
@@ -124,10 +126,27 @@
     }
 }
 
+/// Listens; an address that an earlier process still holds is waited for, for a while.
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let until = Instant::now() + LISTEN_WITHIN;
+    let mut said = false;
+    loop {
+        match TcpListener::bind(address) {
+            Err(e) if e.kind() == std::io::ErrorKind::AddrInUse && Instant::now() < until => {
+                if !std::mem::replace(&mut said, true) {
+                    log::warn!("{address} is in use; waiting for it");
+                }
+                std::thread::sleep(LISTEN_AGAIN);
+            }
+            done => return done,
+        }
+    }
+}
+
 fn serve(config: RouterConfig) -> ExitCode {
     let started = (|| {
         let signals = Signals::new([Signal::Term, Signal::Int])?;
-        Ok::<_, std::io::Error>((signals, TcpListener::bind(config.listen)?))
+        Ok::<_, std::io::Error>((signals, listen(config.listen)?))
     })();
     let (mut signals, listener) = match started {
         Ok(started) => started,
--- a/crates/router/src/protocol/host.rs
+++ b/crates/router/src/protocol/host.rs
@@ -72,7 +72,7 @@
     value: Option<Part>,
     rows: usize,
     binary: bool,
-    described: bool,
+    complete: bool,
     error: Option<String>,
 }
 
@@ -157,12 +157,11 @@
                 p.error = Some(code.unwrap_or_default());
             }
             (b'I', Stage::Busy(_)) => {}
-            (b'T', Stage::Busy(p)) if !p.described && body.starts_with(&[0, 1]) => {
-                p.described = true;
+            (b'T', Stage::Busy(p)) if p.parts.is_empty() && body.starts_with(&[0, 1]) => {
                 p.binary = body.ends_with(&[0, 1]);
                 keep(p, whole)?;
             }
-            (b'D', Stage::Busy(p)) if p.described && p.rows == 0 => {
+            (b'D', Stage::Busy(p)) if p.parts.len() == 1 && !p.complete => {
                 let Some((&[0, 1, a, b, c, d], value)) = body.split_first_chunk::<6>() else {
                     return wrong("a row of another shape");
                 };
@@ -174,7 +173,10 @@
                 keep(p, whole)?;
                 p.value = (size >= 0).then(|| p.bytes.len() - size as usize..p.bytes.len());
             }
-            (b'C', Stage::Busy(p)) if p.parts.len() < 3 => keep(p, whole)?,
+            (b'C', Stage::Busy(p)) if p.parts.len() < 3 && !p.complete => {
+                p.complete = true;
+                keep(p, whole)?;
+            }
             _ => return wrong("a message out of order"),
         }
         Ok(None)
--- a/crates/router/src/protocol/statement.rs
+++ b/crates/router/src/protocol/statement.rs
@@ -19,6 +19,9 @@
     }
 }
 
+/// A client's patience counts as no more than a day.
+const LONGEST_MS: u64 = 86_400_000;
+
 fn syntax(message: impl Into<String>) -> StatementError {
     StatementError { code: "42601", message: message.into() }
 }
@@ -85,7 +88,7 @@
                 b"id" => id = !word.is_empty(),
                 b"c" => class = Some(value),
                 b"t" => tenant = Some(value),
-                b"d" => patience = Some((number(word, "d")?, value)),
+                b"d" => patience = Some((number(word, "d")?.min(LONGEST_MS), value)),
                 b"cluster" => {
                     let n = u32::try_from(number(word, "cluster")?);
                     cluster = Some(n.map_err(|_| invalid("cluster is out of range"))?);
--- a/crates/router/src/transport/watch.rs
+++ b/crates/router/src/transport/watch.rs
@@ -9,8 +9,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// An empty line comes every two seconds; after several of them missing the watch is opened anew.
-const SILENCE: Duration = Duration::from_secs(7);
+/// An empty line comes every two seconds; after two of them missing the watch is opened anew. What discovery
+/// has to tell counts as told six seconds later at the latest: a watch that has died must be noticed before.
+const SILENCE: Duration = Duration::from_secs(5);
 const REST_FIRST: Duration = Duration::from_millis(50);
 const REST_MOST: Duration = Duration::from_secs(1);
 
--- a/crates/router/tests/codec.rs
+++ b/crates/router/tests/codec.rs
@@ -145,7 +145,11 @@
     let welcome = [message(b'R', &[0; 4]), ready.clone()].concat();
     let good = row(b"x");
     let two_rows = [&good[..], &good[..]].concat();
-    let cases: [(&str, Vec<u8>); 7] = [
+    let (described, rest) = good.split_at(good.len() - message(b'D', &[0, 1, 0, 0, 0, 1, b'x']).len() - 14);
+    let (value, complete) = rest.split_at(rest.len() - 14);
+    let cases: [(&str, Vec<u8>); 9] = [
+        ("a row after its completion", [described, complete, value].concat()),
+        ("a row completed twice", [described, value, complete, complete].concat()),
         ("a row without its description", message(b'D', &[0, 1, 0, 0, 0, 1, b'x'])),
         ("two rows", two_rows),
         (
@@ -247,6 +251,8 @@
     assert_eq!(String::from_utf8(again).unwrap(), READ.replace("d=480", "d=17"));
     let write = Statement::parse(WRITE.into()).unwrap();
     assert_eq!((write.verb, write.after, write.repeat), (Verb::Insert, None, false));
+    let patient = Statement::parse(READ.replace("d=480", "d=18446744073709551615").into()).unwrap();
+    assert_eq!(patient.patience_ms, 86_400_000, "no more than a day");
     let repeat = Statement::parse(WRITE.replace("cluster=2", "cluster=2, r=1, new=x").into()).unwrap();
     assert!(repeat.repeat);
 }
--- a/crates/router/tests/program.rs
+++ b/crates/router/tests/program.rs
@@ -7,7 +7,7 @@
 use basalthill_standin::host::{Host, Reply};
 use common::{text, SETTINGS};
 use std::io::{BufRead, BufReader, Read};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 
@@ -65,21 +65,25 @@
     assert!(good.status.success(), "{}", said(&good));
 }
 
-/// A router started as in service, by its variables.
+/// A router started as in service, by its variables, and where it listens.
 fn started(host: &Host) -> (Child, SocketAddr) {
+    let mut child = spawned(host, "127.0.0.1:0");
+    let addr = after(child.stderr.take().unwrap(), "listens on ");
+    (child, addr)
+}
+
+fn spawned(host: &Host, listen: &str) -> Child {
     let known = list(1, true, &[("s-1", host.addr, 2, "active", "source")]);
     let discovery = Discovery::start(known.clone()).unwrap();
     let text = format!(r#"{{"seed":"1","known":{known},"settings":{SETTINGS}}}"#);
-    let mut child = program()
+    program()
         .env("BALANCER_NAME", "n1")
-        .env("BALANCER_LISTEN", "127.0.0.1:0")
+        .env("BALANCER_LISTEN", listen)
         .env("BALANCER_DISCOVERY", discovery.addr.to_string())
         .env("BALANCER_CONFIG", file(&format!("serve-{}", host.addr.port()), &text))
         .stderr(Stdio::piped())
         .spawn()
-        .unwrap();
-    let addr = after(child.stderr.take().unwrap(), "listens on ");
-    (child, addr)
+        .unwrap()
 }
 
 /// The address that a program prints after some words; what it prints later is read and dropped.
@@ -126,10 +130,26 @@
     signal(&child, "KILL");
     child.wait().unwrap();
     assert!(client.ended());
-    let again = std::net::TcpListener::bind(addr);
+    let again = TcpListener::bind(addr);
     assert!(again.is_ok(), "the address is free again: {again:?}");
 }
 
+#[test]
+fn an_address_that_an_earlier_process_still_holds_is_waited_for() {
+    let host = Host::start(|_| (Reply::Row(b"x1=1".to_vec()), Vec::new())).unwrap();
+    let held = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = held.local_addr().unwrap();
+    let mut child = spawned(&host, &addr.to_string());
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+    assert!(lines.any(|line| line.unwrap().contains("is in use")));
+    drop(held);
+    assert!(lines.any(|line| line.unwrap().contains("listens on")));
+    std::thread::spawn(move || lines.for_each(drop));
+    assert_eq!(Client::connect(addr).unwrap().ask("").unwrap(), Answer::Empty);
+    signal(&child, "TERM");
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+}
+
 /// The commands of `examples/README.md`, with ports of this test's own.
 #[test]
 fn the_example_does_what_its_page_says() {
