--- a/crates/policy/tests/failures.rs
+++ b/crates/policy/tests/failures.rs
@@ -676,3 +676,20 @@
     let ids: Vec<RequestId> = (0..6).map(|_| b.ask(ANY, 0)).collect();
     assert!(ids.iter().all(|id| b.out(*id)));
 }
+
+#[test]
+fn a_timer_that_fires_a_little_late_is_no_standstill() {
+    // Real timers fire a moment after their time. A router with little to do must still see silence.
+    let mut b = Bench::new(settings());
+    for _ in 0..60 {
+        let id = b.ask(UNSAFE, 0);
+        b.end(id, Status::Ok, 20, 0, Role::Primary);
+    }
+    b.ask(UNSAFE, 0);
+    for _ in 0..10 {
+        b.now = b.now.plus(Time::ms(101));
+        b.event(Event::Timer(0));
+    }
+    let id = b.ask(UNSAFE, 0);
+    assert!(!b.out(id), "a primary that has said nothing for a second gets no more");
+}
