Nothing is written to a member whose drain's grace has passed while a connection came up

The decisions keep the grace when they send, but a connection may take up to the settings' time to come up, and a drain is counted from the first byte of a send. Routing now keeps when each member's parting was told (the first notice, taken back when it is active or started again; absence from a whole list counts where removal binds), and transport asks just before it writes. What is withheld ends as moot: it never ran and says nothing of the member.

--- a/crates/router/src/routing/members.rs
+++ b/crates/router/src/routing/members.rs
@@ -5,25 +5,47 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+/// What the list has told of a member's leaving.
+#[derive(Clone, Copy, Debug, Default)]
+struct Parting {
+    told: Option<Time>,
+    started_ms: u64,
+}
+
 /// Ids, addresses and groups of all members that discovery has named.
 pub struct Members {
     ids: BTreeMap<String, MemberId>,
     addrs: Vec<Option<SocketAddr>>,
+    parting: Vec<Parting>,
+    only_draining_binds: bool,
     groups: BTreeSet<GroupId>,
     zones: Vec<String>,
 }
 
 impl Members {
     /// None yet; `zones` are named in the order of their ids.
-    pub fn new(zones: &[String]) -> Members {
-        Members { ids: BTreeMap::new(), addrs: Vec::new(), groups: BTreeSet::new(), zones: zones.to_vec() }
+    pub fn new(zones: &[String], only_draining_binds: bool) -> Members {
+        Members {
+            ids: BTreeMap::new(),
+            addrs: Vec::new(),
+            parting: Vec::new(),
+            only_draining_binds,
+            groups: BTreeSet::new(),
+            zones: zones.to_vec(),
+        }
     }
 
     /// Takes a list in, in the decisions' terms.
-    pub fn take(&mut self, list: HostList) -> (ListForm, Vec<Entry>) {
+    pub fn take(&mut self, now: Time, list: HostList) -> (ListForm, Vec<Entry>) {
         let (version, full) = (list.version, list.full);
         if full {
             log::info!("list {version}: {} members", list.servers.len());
+            if !self.only_draining_binds {
+                let named: BTreeSet<&str> = list.servers.iter().map(|h| h.id.as_str()).collect();
+                for (_, m) in self.ids.iter().filter(|(id, _)| !named.contains(id.as_str())) {
+                    self.parting[m.0 as usize].told.get_or_insert(now);
+                }
+            }
         }
         let entries = list.servers.into_iter().map(|host| {
             if !full {
@@ -34,6 +56,16 @@
             let member = *self.ids.entry(host.id).or_insert(next);
             if member == next {
                 self.addrs.push(None);
+                self.parting.push(Parting::default());
+            }
+            let parting = &mut self.parting[member.0 as usize];
+            if host.started_ms > parting.started_ms {
+                *parting = Parting { told: None, started_ms: host.started_ms };
+            }
+            match host.state {
+                HostState::Active => parting.told = None,
+                HostState::Left if self.only_draining_binds => {}
+                HostState::Leaving | HostState::Left => drop(parting.told.get_or_insert(now)),
             }
             let addr = host.addr.parse().ok();
             match (addr, host.state) {
@@ -65,6 +97,11 @@
         (if full { ListForm::Full } else { ListForm::Delta }, entries)
     }
 
+    /// When a member's parting was told, if it binds.
+    pub fn parting(&self, member: MemberId) -> Option<Time> {
+        self.parting.get(member.0 as usize)?.told
+    }
+
     /// Where a member listens.
     pub fn addr(&self, member: MemberId) -> Option<SocketAddr> {
         self.addrs.get(member.0 as usize).copied().flatten()
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -43,6 +43,8 @@
     Unwelcome(String),
     /// No connection, or it broke before the request's last byte was written.
     NotSent,
+    /// It was not written, as a drain's grace had passed: neither the host's fault nor a failed connection.
+    Withheld,
     /// The connection broke, or made no sense, after that.
     Broken,
 }
@@ -86,11 +88,24 @@
     Own(&'static str),
 }
 
+/// An exchange that is to begin.
+#[derive(Clone, Debug)]
+pub struct Order {
+    /// Which it is.
+    pub id: ExchangeId,
+    /// With which member.
+    pub member: MemberId,
+    /// Where that listens.
+    pub addr: SocketAddr,
+    /// What is to be written.
+    pub query: Query,
+}
+
 /// What is to be done.
 #[derive(Debug)]
 pub enum Effect {
-    /// Begin an exchange with the host at an address.
-    Begin(ExchangeId, SocketAddr, Query),
+    /// Begin an exchange.
+    Begin(Order),
     /// Give an exchange up.
     Abandon(ExchangeId),
     /// Answer a client.
@@ -138,7 +153,7 @@
     /// A router that has just started with the list as it last had it.
     pub fn new(now: Time, site: Site, seed: u64, known: Option<HostList>, out: &mut Vec<Effect>) -> Router {
         let policy = Policy::new(site.settings.clone(), seed);
-        let members = Members::new(&site.zones);
+        let members = Members::new(&site.zones, site.settings.only_draining_binds);
         let mut router = Router {
             policy,
             site,
@@ -153,7 +168,7 @@
             events: VecDeque::new(),
             actions: Vec::new(),
         };
-        let entries = known.map(|list| router.members.take(list).1).unwrap_or_default();
+        let entries = known.map(|list| router.members.take(now, list).1).unwrap_or_default();
         router.events.push_back(Event::List(ListForm::Cached, entries));
         router.run(now, out);
         router
@@ -172,7 +187,7 @@
             }
             Input::Ended(exchange, ended) => self.ended(now, exchange, ended, out),
             Input::List(list) => {
-                let (form, entries) = self.members.take(list);
+                let (form, entries) = self.members.take(now, list);
                 self.events.push_back(Event::List(form, entries));
             }
             Input::Tick => self.due(now, out),
@@ -192,6 +207,13 @@
         self.timers.next()
     }
 
+    /// Whether a query may still be written to a member. The decisions keep a drain's grace when they send,
+    /// but a connection can come up after it has passed.
+    pub fn may_write(&self, now: Time, member: MemberId) -> bool {
+        let grace = self.site.settings.drain_grace;
+        self.members.parting(member).is_none_or(|told| now < told.plus(grace))
+    }
+
     /// Requests without an answer.
     pub fn unanswered(&self) -> usize {
         self.by_client.len()
@@ -251,7 +273,8 @@
                 let timer = self.timers.add(now.plus(self.site.connect_timeout), Timer::Probe(number));
                 self.probes.insert(number, Exchange { member, sent: now, timer });
                 let text = if self.site.reports == Reports::None { "SELECT 1" } else { "SHOW vitals" };
-                out.push(Effect::Begin(ExchangeId::Probe(number), addr, Query::Own(text)));
+                let (id, query) = (ExchangeId::Probe(number), Query::Own(text));
+                out.push(Effect::Begin(Order { id, member, addr, query }));
             }
             Action::CloseIdle(member) => out.extend(self.members.addr(member).map(Effect::CloseIdle)),
             Action::Watch => {} // a watch is always kept
@@ -329,7 +352,8 @@
         open.attempts.push(Some(Exchange { member, sent: now, timer }));
         let patience = (wait.0 / 1_000_000).max(1);
         let query = Query::Statement(Rc::clone(&open.statement), patience);
-        out.push(Effect::Begin(ExchangeId::Attempt(id, attempt), addr, query));
+        let id = ExchangeId::Attempt(id, attempt);
+        out.push(Effect::Begin(Order { id, member, addr, query }));
     }
 
     fn ended(&mut self, now: Time, exchange: ExchangeId, ended: Ended, out: &mut Vec<Effect>) {
@@ -345,6 +369,7 @@
                     Ended::Answered(Ending::Nothing, telling) => (Status::Error, telling),
                     Ended::Unwelcome(code) if code == "53300" => (Status::Full, Telling::default()),
                     Ended::Unwelcome(_) | Ended::NotSent => (Status::ConnectFailed, Telling::default()),
+                    Ended::Withheld => (Status::Moot, Telling::default()),
                     Ended::Broken => (Status::Reset, Telling::default()),
                 };
                 self.outcome(now, id, attempt, x, status, telling);
@@ -362,6 +387,7 @@
                     Ended::Answered(..) => (Status::Error, Standing::default()),
                     Ended::Unwelcome(code) if code == "53300" => (Status::Full, Standing::default()),
                     Ended::Unwelcome(_) | Ended::NotSent => (Status::ConnectFailed, Standing::default()),
+                    Ended::Withheld => (Status::Moot, Standing::default()),
                     Ended::Broken => (Status::Reset, Standing::default()),
                 };
                 self.probed(now, x, status, report);
--- a/crates/router/src/transport/exchange.rs
+++ b/crates/router/src/transport/exchange.rs
@@ -3,7 +3,7 @@
 use super::pool::HostConnection;
 use super::{io, Hub};
 use crate::protocol::host::{self, HostMessage, HostSide};
-use crate::routing::{Ended, Query};
+use crate::routing::{Ended, Order, Query};
 use async_io::{Async, Timer};
 use futures_lite::future;
 use std::net::{SocketAddr, TcpStream};
@@ -11,7 +11,8 @@
 
 /// Runs a query to its end. Dropped before that, it closes its connection: an answer that comes late must not
 /// meet the next request.
-pub async fn run(hub: &Rc<Hub>, addr: SocketAddr, query: Query) -> Ended {
+pub async fn run(hub: &Rc<Hub>, order: Order) -> Ended {
+    let Order { member, addr, query, .. } = order;
     let mut connection = match hub.pool.take(addr) {
         Some(connection) => connection,
         None => match connect(hub, addr).await {
@@ -19,6 +20,12 @@
             Err(ended) => return ended,
         },
     };
+    // The connection may have come up after a drain's grace, or its host's parting may have been told
+    // meanwhile.
+    if !hub.router.borrow().may_write(hub.clock.now(), member) {
+        hub.pool.put(addr, connection);
+        return Ended::Withheld;
+    }
     connection.side.begin();
     if let Err(e) = write(&connection.stream, &query).await {
         log::debug!("{addr}: broke before the last byte: {e}");
@@ -104,29 +111,61 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::protocol::discovery::HostList;
+    use crate::routing::ExchangeId;
     use async_executor::LocalExecutor;
+    use basalthill_policy::api::MemberId;
+    use std::io::Read;
     use std::net::{Shutdown, TcpListener};
 
     const CONFIG: &str = include_str!("../../../../examples/router.json");
 
-    /// Broken before its last byte is written, a request is known not to have run.
-    #[test]
-    fn a_request_that_can_not_be_written_whole_was_not_sent() -> std::io::Result<()> {
-        let config = basalthill_config::router::parse(CONFIG.as_bytes(), |_| None).expect("a sound example");
-        let executor = Rc::new(LocalExecutor::new());
-        let hub = Hub::new(config, None, &executor);
+    /// Runs a query on a pooled connection to the one member of a list, in a state and with a grace; how it
+    /// ended, and what came at the member.
+    fn ended(state: &str, grace: &str, broken: bool) -> std::io::Result<(Ended, usize)> {
         let host = TcpListener::bind(("127.0.0.1", 0))?;
         let addr = host.local_addr()?;
+        let text = CONFIG.replace("\"drainGrace\": 1000000000", &format!("\"drainGrace\": {grace}"));
+        let config = basalthill_config::router::parse(text.as_bytes(), |_| None).expect("a sound example");
+        let member = format!(r#"{{"id":"a","addr":"{addr}","cell":1,"state":"{state}"}}"#);
+        let list = format!(r#"{{"version":1,"full":true,"servers":[{member}]}}"#);
+        let executor = Rc::new(LocalExecutor::new());
+        let known = HostList::parse(list.as_bytes()).ok();
+        let hub = Hub::new(config, known, &executor);
         let stream = TcpStream::connect(addr)?;
-        let _kept = host.accept()?;
-        stream.shutdown(Shutdown::Write)?;
+        let (mut far, _) = host.accept()?;
+        if broken {
+            stream.shutdown(Shutdown::Write)?;
+        }
         let mut side = HostSide::default();
         side.feed(b"R\0\0\0\x08\0\0\0\0Z\0\0\0\x05I");
         assert_eq!(side.take(), Ok(Some(HostMessage::Ready)));
         let permit = hub.budget.take().expect("a descriptor");
         hub.pool.put(addr, HostConnection { stream: Async::new(stream)?, side, _permit: permit });
-        let ended = async_io::block_on(executor.run(run(&hub, addr, Query::Own("SELECT 1"))));
-        assert_eq!(ended, Ended::NotSent);
+        let (id, query) = (ExchangeId::Probe(99), Query::Own("SELECT 1"));
+        let order = Order { id, member: MemberId(0), addr, query };
+        // The far side answers nothing: it reads what comes, up to the end, and closes.
+        let reader = std::thread::spawn(move || {
+            let mut bytes = [0; 64];
+            far.read(&mut bytes)
+        });
+        let ended = async_io::block_on(executor.run(run(&hub, order)));
+        hub.pool.close(addr);
+        Ok((ended, reader.join().expect("a reader")?))
+    }
+
+    #[test]
+    fn a_request_that_can_not_be_written_whole_was_not_sent() -> std::io::Result<()> {
+        assert_eq!(ended("active", "1000000000", true)?, (Ended::NotSent, 0));
+        Ok(())
+    }
+
+    #[test]
+    fn nothing_is_written_once_a_drains_grace_has_passed() -> std::io::Result<()> {
+        assert_eq!(ended("active", "0", false)?, (Ended::Broken, 14));
+        assert_eq!(ended("leaving", "60000000000", false)?, (Ended::Broken, 14));
+        assert_eq!(ended("leaving", "0", false)?, (Ended::Withheld, 0));
+        assert_eq!(ended("left", "0", false)?, (Ended::Withheld, 0));
         Ok(())
     }
 }
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -10,7 +10,7 @@
 mod watch;
 
 use crate::protocol::discovery::HostList;
-use crate::routing::{Answer, ClientId, Clock, Effect, Ended, ExchangeId, Input, Query, Router, Tally};
+use crate::routing::{Answer, ClientId, Clock, Effect, Ended, ExchangeId, Input, Order, Router, Tally};
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use basalthill_config::router::{stop_limit, RouterConfig, IDLE_SHARE, SOCKETS_RESERVED, STOP_SERVING};
@@ -24,7 +24,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
-use std::net::{SocketAddr, TcpListener};
+use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -99,7 +99,7 @@
     fn carry_out(self: &Rc<Hub>, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
-                Effect::Begin(id, addr, query) => self.begin(id, addr, query),
+                Effect::Begin(order) => self.begin(order),
                 Effect::Abandon(id) => drop(self.exchanges.borrow_mut().remove(&id)),
                 Effect::Answer(client, answer) => self.answer(client, answer),
                 Effect::CloseIdle(addr) => self.pool.close(addr),
@@ -120,10 +120,10 @@
         Some(self.executor.borrow().as_ref()?.spawn(task))
     }
 
-    fn begin(self: &Rc<Hub>, id: ExchangeId, addr: SocketAddr, query: Query) {
-        let hub = Rc::clone(self);
+    fn begin(self: &Rc<Hub>, order: Order) {
+        let (hub, id) = (Rc::clone(self), order.id);
         let task = self.spawn(async move {
-            let ended = exchange::run(&hub, addr, query).await;
+            let ended = exchange::run(&hub, order).await;
             hub.finished(id, ended);
         });
         self.exchanges.borrow_mut().extend(task.map(|t| (id, t)));
--- a/crates/router/tests/routing.rs
+++ b/crates/router/tests/routing.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use basalthill_policy::api::{Status, Time};
+use basalthill_policy::api::{MemberId, Status, Time};
 use basalthill_router::protocol::host::{Ending, Row, Telling};
 use basalthill_router::routing::{Answer, ClientId, Effect, Ended, ExchangeId, Input, Query, Router};
 use common::{hosts, site, statement};
@@ -88,7 +88,7 @@
 
 fn begun(effects: &[Effect]) -> Vec<(ExchangeId, SocketAddr, Query)> {
     let one = |e: &Effect| match e {
-        Effect::Begin(id, addr, query) => Some((*id, *addr, query.clone())),
+        Effect::Begin(order) => Some((order.id, order.addr, order.query.clone())),
         _ => None,
     };
     effects.iter().filter_map(one).collect()
@@ -185,6 +185,7 @@
         (Ended::Unwelcome("53300".into()), Status::Full),
         (Ended::Unwelcome("28P01".into()), Status::ConnectFailed),
         (Ended::NotSent, Status::ConnectFailed),
+        (Ended::Withheld, Status::Moot),
         (Ended::Broken, Status::Reset),
     ];
     for (ended, status) in cases {
@@ -327,6 +328,24 @@
     }
 }
 
+#[test]
+fn a_connection_that_comes_up_after_a_drains_grace_may_not_be_written_to() {
+    let mut d = Driven::new();
+    let both = |state| [("s-1", PRIMARY, state, "source"), ("s-2", COPY, "active", "copy")];
+    d.input(Input::List(hosts(2, false, &both("leaving"))));
+    d.pass(999);
+    assert!(d.router.may_write(d.now, MemberId(0)));
+    d.input(Input::List(hosts(3, false, &both("left"))));
+    d.pass(1);
+    assert!(!d.router.may_write(d.now, MemberId(0)), "the grace runs from the first notice");
+    assert!(d.router.may_write(d.now, MemberId(1)));
+    d.input(Input::List(hosts(4, false, &both("active"))));
+    assert!(d.router.may_write(d.now, MemberId(0)), "it is back in service");
+    d.input(Input::List(hosts(5, true, &both("active")[1..])));
+    d.pass(1000);
+    assert!(!d.router.may_write(d.now, MemberId(0)), "one absent from a whole list has gone");
+}
+
 #[test]
 fn a_shutdown_fails_what_is_unanswered_once() {
     let mut d = Driven::new();
