--- a/crates/router/tests/routing.rs
+++ b/crates/router/tests/routing.rs
@@ -2,10 +2,12 @@
 
 mod common;
 
-use basalthill_policy::api::{MemberId, Status, Time};
+use basalthill_policy::api::{MemberId, RequestId, Status, Time};
 use basalthill_router::protocol::host::{Ending, Row, Telling};
 use basalthill_router::routing::{Answer, ClientId, Effect, Ended, ExchangeId, Input, Query, Router};
 use common::{hosts, site, statement};
+use proptest::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 const START: Time = Time::ms(1_767_225_600_000);
@@ -388,3 +390,128 @@
     d.empty();
     assert_eq!(d.router.unanswered(), 0);
 }
+
+/// What a host may do with an attempt.
+fn an_end() -> impl Strategy<Value = Option<Ended>> {
+    let answered = |ending| Some(Ended::Answered(ending, Telling::default()));
+    let coded = |code: &str| Some(Ended::Answered(Ending::Error(code.into()), Telling::default()));
+    prop_oneof![
+        6 => Just(answered(Ending::Row(row(b"x")))),
+        1 => Just(answered(Ending::Nothing)),
+        1 => Just(coded("25006")),
+        1 => Just(coded("72000")),
+        1 => Just(coded("53300")),
+        1 => Just(coded("XX000")),
+        1 => Just(Some(Ended::Unwelcome("53300".into()))),
+        1 => Just(Some(Ended::NotSent)),
+        1 => Just(Some(Ended::Withheld)),
+        1 => Just(Some(Ended::Broken)),
+        3 => Just(None), // it never ends by itself
+    ]
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Ask(usize),
+    Leave(usize),
+    Pass(u64),
+    List(u64),
+}
+
+fn a_step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (0usize..5).prop_map(Step::Ask),
+        1 => any::<usize>().prop_map(Step::Leave),
+        6 => (0u64..80).prop_map(Step::Pass),
+        1 => (0u64..3).prop_map(Step::List),
+    ]
+}
+
+proptest! {
+    /// Whatever hosts, clients and discovery do: one answer to each request whose client stays, none to one
+    /// that has left, nothing sent for a request after its answer, no write sent or refused that may have
+    /// run, and nothing left on the books.
+    #[test]
+    fn each_request_gets_one_answer_and_a_write_runs_once(
+        steps in proptest::collection::vec((a_step(), an_end()), 1..120)
+    ) {
+        let mut d = Driven::new();
+        let mut clients: BTreeMap<u64, (&str, Option<Answer>)> = BTreeMap::new();
+        let mut may_have_run: BTreeSet<RequestId> = BTreeSet::new();
+        let mut gone: BTreeSet<u64> = BTreeSet::new();
+        let drain = (0..200).map(|_| (Step::Pass(100), None));
+        for (step, end) in steps.into_iter().chain(drain) {
+            let mut effects = match step {
+                Step::Ask(class) => {
+                    let class = ["view", "own", "status", "report", "write"][class];
+                    let client = clients.len() as u64;
+                    clients.insert(client, (class, None));
+                    d.ask(client, class, "")
+                }
+                Step::Leave(n) if !clients.is_empty() => {
+                    let client = (n % clients.len()) as u64;
+                    gone.insert(client);
+                    d.input(Input::ClientGone(ClientId(client)))
+                }
+                Step::Leave(_) => Vec::new(),
+                Step::Pass(ms) => d.pass(ms),
+                Step::List(n) => {
+                    let state = ["active", "leaving", "left"][n as usize];
+                    d.input(Input::List(hosts(2, false, &[("s-2", COPY, state, "copy")])))
+                }
+            };
+            while !effects.is_empty() {
+                let mut next = Vec::new();
+                for effect in effects {
+                    match effect {
+                        Effect::Answer(client, answer) => {
+                            let client = client.0;
+                            prop_assert!(!gone.contains(&client) || clients[&client].1.is_none());
+                            // All requests here are sound: the router numbers them as they are asked.
+                            let ran = may_have_run.contains(&RequestId(client));
+                            let refused = matches!(answer, Answer::Refused(_));
+                            let write = clients[&client].0 == "write";
+                            prop_assert!(!(write && ran && refused), "a write that may have run was refused");
+                            let before = clients.get_mut(&client).and_then(|c| c.1.replace(answer));
+                            prop_assert_eq!(before, None, "a second answer");
+                        }
+                        Effect::Begin(order) => {
+                            if let ExchangeId::Attempt(id, _) = order.id {
+                                let (class, answer) = &clients[&id.0];
+                                prop_assert!(answer.is_none(), "sent after its answer");
+                                let again = *class == "write" && may_have_run.contains(&id);
+                                prop_assert!(!again, "a write that may have run was sent again");
+                            }
+                            match &end {
+                                Some(ended) => {
+                                    let ran = match ended {
+                                        Ended::Broken => true,
+                                        Ended::Answered(Ending::Error(code), _) => code == "XX000",
+                                        Ended::Answered(..) => true,
+                                        _ => false,
+                                    };
+                                    if let (ExchangeId::Attempt(id, _), true) = (order.id, ran) {
+                                        may_have_run.insert(id);
+                                    }
+                                    next.extend(d.end(order.id, ended.clone()));
+                                }
+                                None => {
+                                    if let ExchangeId::Attempt(id, _) = order.id {
+                                        may_have_run.insert(id);
+                                    }
+                                }
+                            }
+                        }
+                        _ => {}
+                    }
+                }
+                effects = next;
+            }
+        }
+        for (client, (class, answer)) in &clients {
+            prop_assert!(answer.is_some() || gone.contains(client), "{} of client {} has no answer", class, client);
+        }
+        prop_assert_eq!(d.router.unanswered(), 0);
+        prop_assert_eq!(d.router.books().0, 0);
+    }
+}
