Large statements are read a few at a time; the memory limit sets how many

limits.memory_mb was read and not used. A thousand clients with values of 64 KiB would have held some 260 MB between them. A client that has sent more than 16 KiB of a statement now needs a place to go on; a quarter of the memory, at twice the longest statement each, gives 150 places at 192 MB. Reads are of 16 KiB at most. Harm: beyond so many large statements at once, the others wait to be read.

--- a/crates/config/src/router.rs
+++ b/crates/config/src/router.rs
@@ -41,6 +41,20 @@
 /// Descriptors kept back for standard streams, the reactor, signals, the listener and discovery.
 pub const SOCKETS_RESERVED: usize = 24;
 
+impl Limits {
+    /// How many statements past [`LARGE`] may be on the way at a time: a quarter of the memory is theirs, and
+    /// one may stand in memory twice while it is taken over.
+    pub fn large_statements(&self) -> usize {
+        ((self.memory_mb << 20) as usize / 4 / (2 * LONGEST_STATEMENT)).max(1)
+    }
+}
+
+/// Longest statement: a value of 64 KiB in hexadecimal digits, and room for the rest.
+pub const LONGEST_STATEMENT: usize = 160 * 1024;
+
+/// A client may have sent this much before it needs a place among the large statements.
+pub const LARGE: usize = 16 * 1024;
+
 /// The share of the settings' idle time after which the router closes an idle connection itself, so that no
 /// request meets the member's closing. A client idle for as long may be closed where descriptors are short.
 pub const IDLE_SHARE: f64 = 0.8;
--- a/crates/router/src/protocol/client.rs
+++ b/crates/router/src/protocol/client.rs
@@ -1,10 +1,11 @@
 //! The side towards clients: bytes in, requests out.
 
+use basalthill_config::router::LONGEST_STATEMENT;
+
 use super::frames::{put, put_error, put_text, text, Inbox, ProtocolError, Severity, READY};
 
-/// Longest message body taken: a value of 64 KiB in hexadecimal digits, and room for the rest of the
-/// statement.
-pub const LONGEST: usize = 160 * 1024;
+/// Longest message body taken.
+pub const LONGEST: usize = LONGEST_STATEMENT;
 const LONGEST_STARTUP: usize = 10_000;
 
 /// What a client has sent.
--- a/crates/router/src/transport/budget.rs
+++ b/crates/router/src/transport/budget.rs
@@ -1,12 +1,17 @@
-//! Descriptors as a budget that clients and hosts share.
+//! What there is only so much of: descriptors, places for large statements.
 
+use async_io::Timer;
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
-/// Descriptors that may still be opened.
+/// How often one who waits looks again.
+const LOOK_AGAIN: Duration = Duration::from_millis(5);
+
+/// What may still be taken.
 pub struct Budget(Rc<Cell<usize>>);
 
-/// One descriptor; given back when dropped.
+/// One that was taken; given back when dropped.
 pub struct Permit(Rc<Cell<usize>>);
 
 impl Budget {
@@ -20,6 +25,16 @@
         self.0.get()
     }
 
+    /// Takes one, waiting until there is one.
+    pub async fn wait(&self) -> Permit {
+        loop {
+            match self.take() {
+                Some(permit) => return permit,
+                None => drop(Timer::after(LOOK_AGAIN).await),
+            }
+        }
+    }
+
     /// Takes one, if any is left.
     pub fn take(&self) -> Option<Permit> {
         let left = self.0.get().checked_sub(1)?;
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -2,11 +2,12 @@
 
 use super::budget::Permit;
 use super::{io, Hub};
-use crate::protocol::client::{self, ClientMessage, ClientSide, LONGEST};
+use crate::protocol::client::{self, ClientMessage, ClientSide};
 use crate::protocol::frames::READY;
 use crate::protocol::statement::Statement;
 use crate::routing::{Answer, ClientId, Input};
 use async_io::Async;
+use basalthill_config::router::LARGE;
 use futures_lite::future;
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
@@ -66,6 +67,7 @@
     hub: Rc<Hub>,
     id: ClientId,
     slot: Rc<Slot>,
+    large: RefCell<Option<Permit>>,
     _permit: Permit,
 }
 
@@ -85,7 +87,7 @@
     let _ = stream.get_ref().set_nodelay(true);
     let slot = Rc::new(Slot::default());
     hub.clients.borrow_mut().insert(id, Rc::clone(&slot));
-    let seat = Seat { hub, id, slot, _permit: permit };
+    let seat = Seat { hub, id, slot, large: RefCell::default(), _permit: permit };
     let mut side = ClientSide::default();
     while let Ok(()) = turn(&seat, &stream, &mut side).await {}
 }
@@ -100,6 +102,9 @@
 
 /// Takes the next message and answers it.
 async fn turn(seat: &Seat, stream: &Async<TcpStream>, side: &mut ClientSide) -> Result<(), Over> {
+    if side.waiting() <= LARGE {
+        seat.large.take();
+    }
     let message = match side.take() {
         Ok(Some(message)) => message,
         Ok(None) => return more(seat, stream, side).await,
@@ -133,6 +138,11 @@
     slot.idle.set(Some(Instant::now()));
     let closing = slot.until(|| (hub.closing.get() || slot.ended.get()).then_some(Err(Over)));
     let fill = async {
+        // Long statements are read on a few at a time, or they would fill the memory together.
+        if side.waiting() > LARGE && seat.large.borrow().is_none() {
+            let place = hub.large.wait().await;
+            seat.large.replace(Some(place));
+        }
         match io::read(hub, stream, |bytes| side.feed(bytes)).await {
             Ok(1..) => Ok(()),
             _ => Err(Over),
@@ -153,7 +163,7 @@
     let answer = loop {
         let ready = async { Ok(Some(seat.slot.until(|| seat.slot.answer.borrow_mut().take()).await)) };
         // What comes meanwhile waits for its turn; a client that closes has gone away.
-        let full = side.waiting() > LONGEST;
+        let full = side.waiting() > LARGE;
         let fill = async {
             if full {
                 future::pending::<()>().await;
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -35,7 +35,7 @@
 /// After a failed accept, the listener rests this long.
 const ACCEPT_REST: Duration = Duration::from_millis(10);
 /// Bytes read at a time.
-const READ_AT_ONCE: usize = 64 * 1024;
+const READ_AT_ONCE: usize = 16 * 1024;
 
 /// What all tasks of a router share.
 struct Hub {
@@ -47,6 +47,7 @@
     pool: Pool,
     budget: Budget,
     doors: Budget,
+    large: Budget,
     scratch: RefCell<Vec<u8>>,
     armed: Cell<Time>,
     rearm: Signal,
@@ -75,6 +76,7 @@
             pool: Pool::new(idle),
             budget: Budget::new(config.limits.sockets.saturating_sub(SOCKETS_RESERVED)),
             doors: Budget::new(SOCKETS_RESERVED / 3),
+            large: Budget::new(config.limits.large_statements()),
             scratch: RefCell::new(vec![0; READ_AT_ONCE]),
             armed: Cell::new(Time(u64::MAX)),
             rearm: Signal::default(),
@@ -240,12 +242,7 @@
                     Some(permit) => hub.spawn(client::run(Rc::clone(&hub), ClientId(count), stream, permit)),
                     None => {
                         // Few are turned away at a time, or they would hold more descriptors than there are.
-                        let door = loop {
-                            match hub.doors.take() {
-                                Some(door) => break door,
-                                None => drop(Timer::after(ACCEPT_REST).await),
-                            }
-                        };
+                        let door = hub.doors.wait().await;
                         hub.spawn(client::turn_away(Rc::clone(&hub), stream, door))
                     }
                 };
--- a/crates/router/tests/transport.rs
+++ b/crates/router/tests/transport.rs
@@ -16,6 +16,9 @@
 use std::thread::JoinHandle;
 use std::time::Instant;
 
+/// So little that one large statement at a time is read on.
+const MEMORY_MB: u64 = 1;
+
 /// A router in a thread of its own; it is stopped and awaited at the end.
 struct Served {
     addr: SocketAddr,
@@ -30,7 +33,7 @@
         let addr = listener.local_addr().unwrap();
         let text = format!(
             r#"{{"name":"n1","listen":"{addr}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
-            "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},
+            "limits":{{"cores":1.0,"memory_mb":{MEMORY_MB},"sockets":{sockets}}},
             "known":{known},"settings":{settings}}}"#
         );
         let config = parse(text.as_bytes(), |_| None).unwrap();
@@ -410,3 +413,26 @@
     let end = idle[0].stream.read_to_end(&mut Vec::new());
     assert!(end.is_ok(), "the one that came first made room: {end:?}");
 }
+
+#[test]
+fn large_statements_are_read_a_few_at_a_time() {
+    let host = host(|_| Reply::Row(b"x".to_vec()));
+    let served = Served::of(&host);
+    let large = |id: &str| text("write", "").replace("9f03", &"9f".repeat(65_536)).replace("id=9", id);
+    // The first sends most of its statement, and no more: it holds the one place.
+    let (mut first, mut second, mut third) = (served.client(), served.client(), served.client());
+    let part = query(&large("id=1"));
+    first.stream.write_all(&part[..100_000]).unwrap();
+    for _ in 0..20 {
+        assert_eq!(third.ask(&text("write", "")).unwrap(), row(b"x"));
+    }
+    second.send(&large("id=2")).unwrap();
+    for _ in 0..20 {
+        assert_eq!(third.ask(&text("write", "")).unwrap(), row(b"x"), "small ones go on");
+    }
+    assert_eq!(host.count("id=2"), 0);
+    first.stream.write_all(&part[100_000..]).unwrap();
+    assert_eq!(first.answer().unwrap(), row(b"x"));
+    assert_eq!(second.answer().unwrap(), row(b"x"));
+    assert_eq!(host.count("id=1") + host.count("id=2"), 2);
+}
