--- a/crates/config/src/router.rs
+++ b/crates/config/src/router.rs
@@ -139,10 +139,33 @@
         return Err(ConfigError::new("known", "must be an object"));
     }
     let site = settings::from_value(file.settings)?;
+    in_range(&site).map_err(|e| e.under("settings"))?;
     let limits = Limits { sockets: file.limits.sockets, memory_mb: file.limits.memory_mb };
     Ok(RouterConfig { name, listen, discovery, seed, limits, known: file.known, site, overruled })
 }
 
+/// Figures that no deployment can have.
+fn in_range(site: &Site) -> Result<(), ConfigError> {
+    let s = &site.settings;
+    let mut above_0 = vec![
+        ("quantum".to_string(), s.tick.secs()),
+        ("rules.fallMultiple".into(), s.fall_multiple),
+        ("bounds.maxAttempts".into(), f64::from(s.max_attempts)),
+        ("bounds.connectTimeout".into(), site.connect_timeout.secs()),
+    ];
+    for (i, class) in s.classes.iter().enumerate() {
+        above_0.push((format!("profiles[{i}].aim"), class.aim.secs()));
+        above_0.push((format!("profiles[{i}].deadline"), class.deadline.secs()));
+    }
+    if let Some((key, value)) = above_0.into_iter().find(|(_, value)| *value <= 0.0) {
+        return Err(ConfigError::new(key, format!("must be above 0, not {value}")));
+    }
+    match (0.0..=1.0).contains(&s.cold_from) {
+        true => Ok(()),
+        false => Err(ConfigError::new("rules.coldFrom", "must lie from 0 to 1")),
+    }
+}
+
 fn address(key: &str, text: &str) -> Result<SocketAddr, ConfigError> {
     text.parse().map_err(|_| ConfigError::new(key, format!("{text:?} is not an address with a port")))
 }
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -186,15 +186,6 @@
         return Err(ConfigError::new("profiles", "must not be empty"));
     }
     let unknown = |key: String, word: &str| ConfigError::new(key, format!("{word:?} is unknown"));
-    let positive = |key: &str, value: f64| match value.is_finite() && value > 0.0 {
-        true => Ok(()),
-        false => Err(ConfigError::new(key, format!("must be above 0, not {value}"))),
-    };
-    positive("quantum", t.quantum as f64)?;
-    positive("rules.fallMultiple", t.rules.fall_multiple)?;
-    if !(0.0..=1.0).contains(&t.rules.cold_from) {
-        return Err(ConfigError::new("rules.coldFrom", "must lie from 0 to 1"));
-    }
     let mut classes = Vec::new();
     for (i, p) in t.profiles.iter().enumerate() {
         let consistency = match f.consistency[i].as_str() {
@@ -220,8 +211,6 @@
             "cell" => KeyScope::Group,
             other => return Err(unknown(format!("profiles[{i}].keyScope"), other)),
         };
-        positive(&format!("profiles[{i}].aim"), p.aim as f64)?;
-        positive(&format!("profiles[{i}].deadline"), p.deadline as f64)?;
         classes.push(Class {
             consistency,
             effect,
--- a/crates/config/tests/config.rs
+++ b/crates/config/tests/config.rs
@@ -21,7 +21,8 @@
             "familyInfo": {"consistency": ["mutate", "lag_bound"], "lagAllowed": [0, 3000], "positions": true,
                 "roleListed": "trailing", "tokenMode": "brought", "whenBehind": "await",
                 "patience": 5, "zero": 0},
-            "bounds": {"cancel": true, "maxAttempts": 3, "parallelTries": true, "probes": true,
+            "bounds": {"cancel": true, "connectTimeout": 250000000, "maxAttempts": 3, "parallelTries": true,
+                "probes": true,
                 "retryAfter": true},
             "rules": {"coldFrom": 0.2, "drainGrace": 1000, "fall": 1500, "fallMultiple": 3.0,
                 "warmWithin": 15000},
@@ -94,6 +95,8 @@
         ("/settings/familyInfo/tokenMode", json!("odd"), "settings.familyInfo.tokenMode"),
         ("/settings/familyInfo/whenBehind", json!("odd"), "settings.familyInfo.whenBehind"),
         ("/settings/reporting/via", json!("odd"), "settings.reporting.via"),
+        ("/settings/bounds/maxAttempts", json!(0), "settings.bounds.maxAttempts"),
+        ("/settings/bounds/connectTimeout", json!(0), "settings.bounds.connectTimeout"),
         ("/settings/rules/coldFrom", json!(2.0), "settings.rules.coldFrom"),
         ("/settings/rules/fallMultiple", json!(0.0), "settings.rules.fallMultiple"),
     ];
--- a/crates/router/tests/transport.rs
+++ b/crates/router/tests/transport.rs
@@ -436,3 +436,15 @@
     assert_eq!(second.answer().unwrap(), row(b"x"));
     assert_eq!(host.count("id=1") + host.count("id=2"), 2);
 }
+
+#[test]
+fn a_watch_that_has_fallen_silent_is_opened_again_from_the_last_version() {
+    let host = host(|_| Reply::Row(b"x".to_vec()));
+    let known = list(7, true, &[("s-1", host.addr, 2, "active", "source")]);
+    let discovery = Discovery::start(known.clone()).unwrap();
+    let served = Served::start(&known, discovery.addr, 256, SETTINGS);
+    // The stand-in writes its list, and then nothing for longer than two empty lines would take.
+    let again = discovery.told.wait(|t| t.requests.get(1).cloned()).unwrap();
+    assert!(again.contains("watch=1") && again.contains("from=7"), "{again}");
+    assert_eq!(served.client().ask(&text("write", "")).unwrap(), row(b"x"), "the list is kept");
+}
