A want of descriptors is waited out; idle clients make room sooner

Seen on fleet 3 with 90 descriptors: 46 attempts and 36 probes of one router ended as 'no connection' for want of a descriptor of its own, and members were ejected for it, while some 27 clients sat idle (they made room after 12 s only). At fault: connect in transport/exchange.rs, the threshold in Hub::permit.

Now an attempt waits for a descriptor within the time for a connection, taking one to its member that falls idle meanwhile, and clients idle for a fifteenth of the settings' idle time (1 s) are closed first. Harm: a client between two requests may have to connect again, only where descriptors are spent.

--- a/crates/config/src/router.rs
+++ b/crates/config/src/router.rs
@@ -56,9 +56,13 @@
 pub const LARGE: usize = 16 * 1024;
 
 /// The share of the settings' idle time after which the router closes an idle connection itself, so that no
-/// request meets the member's closing. A client idle for as long may be closed where descriptors are short.
+/// request meets the member's closing.
 pub const IDLE_SHARE: f64 = 0.8;
 
+/// The share of that time after which an idle client may be closed where descriptors are short: it opens
+/// another connection when it needs one.
+pub const CLIENT_IDLE_SHARE: f64 = 1.0 / 15.0;
+
 /// After the signal to stop, requests are taken as usual for this long: the front goes on dealing meanwhile.
 pub const STOP_SERVING: Time = Time::ms(500);
 
--- a/crates/router/src/transport/budget.rs
+++ b/crates/router/src/transport/budget.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 /// How often one who waits looks again.
-const LOOK_AGAIN: Duration = Duration::from_millis(5);
+pub const LOOK_AGAIN: Duration = Duration::from_millis(5);
 
 /// What may still be taken.
 pub struct Budget(Rc<Cell<usize>>);
--- a/crates/router/src/transport/exchange.rs
+++ b/crates/router/src/transport/exchange.rs
@@ -1,5 +1,6 @@
 //! One query at one host: on a pooled connection, or on a new one. Nothing is sent twice.
 
+use super::budget::LOOK_AGAIN;
 use super::pool::HostConnection;
 use super::{io, Hub};
 use crate::protocol::host::{self, HostMessage, HostSide};
@@ -43,11 +44,18 @@
 }
 
 async fn connect(hub: &Rc<Hub>, addr: SocketAddr) -> Result<HostConnection, Ended> {
-    let Some(permit) = hub.permit().await else {
-        log::warn!("{addr}: no descriptor left for a connection");
-        return Err(Ended::NotSent);
-    };
     let up = async {
+        // A want of descriptors is this router's own and passes as exchanges end: it is waited out within the
+        // time for a connection, or the decisions would take it for the member's failure.
+        let permit = loop {
+            match hub.permit().await {
+                Some(permit) => break permit,
+                None => drop(Timer::after(LOOK_AGAIN).await),
+            }
+            if let Some(connection) = hub.pool.take(addr) {
+                return Ok(connection);
+            }
+        };
         let stream = Async::<TcpStream>::connect(addr).await.map_err(|_| Ended::NotSent)?;
         let _ = stream.get_ref().set_nodelay(true);
         io::write(&stream, &[&host::startup()]).await.map_err(|_| Ended::NotSent)?;
@@ -70,6 +78,9 @@
     };
     let late = async {
         Timer::after(hub.connect_timeout).await;
+        if hub.budget.left() == 0 {
+            log::warn!("{addr}: no descriptor left for a connection");
+        }
         Err(Ended::NotSent)
     };
     future::or(up, late).await
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -13,7 +13,9 @@
 use crate::routing::{Answer, ClientId, Clock, Effect, Ended, ExchangeId, Input, Order, Router, Tally};
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
-use basalthill_config::router::{stop_limit, RouterConfig, IDLE_SHARE, SOCKETS_RESERVED, STOP_SERVING};
+use basalthill_config::router::{
+    stop_limit, RouterConfig, CLIENT_IDLE_SHARE, IDLE_SHARE, SOCKETS_RESERVED, STOP_SERVING,
+};
 use basalthill_policy::api::Time;
 use budget::{Budget, Permit};
 use client::Slot;
@@ -56,7 +58,7 @@
     listed: Signal,
     closing: Cell<bool>,
     connect_timeout: Duration,
-    idle: Duration,
+    client_idle: Duration,
 }
 
 impl Hub {
@@ -65,6 +67,7 @@
         let clock = Clock::anchored();
         let connect_timeout = Duration::from_nanos(config.site.connect_timeout.0);
         let idle = Duration::from_nanos(config.site.conn_idle.times(IDLE_SHARE).0);
+        let client_idle = Duration::from_nanos(config.site.conn_idle.times(CLIENT_IDLE_SHARE).0);
         let mut effects = Vec::new();
         let router = Router::new(clock.now(), config.site, config.seed, known, &mut effects);
         let hub = Rc::new(Hub {
@@ -85,7 +88,7 @@
             listed: Signal::default(),
             closing: Cell::new(false),
             connect_timeout,
-            idle,
+            client_idle,
         });
         hub.carry_out(effects);
         hub
@@ -155,7 +158,7 @@
         if let Some(permit) = self.budget.take() {
             return Some(permit);
         }
-        let idle = |slot: &&Rc<Slot>| slot.idle_for() >= self.idle;
+        let idle = |slot: &&Rc<Slot>| slot.idle_for() >= self.client_idle;
         if let Some(slot) = self.clients.borrow().values().filter(idle).max_by_key(|s| s.idle_for()) {
             slot.end();
         }
