--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -35,6 +35,7 @@
 const ERROR_GAIN: f64 = 0.2; // how fast a member's share of failures follows
 const ERROR_FADE_S: f64 = 10.0; // and fades unheard
 const HOLD_TIMES: f64 = 1.2; // less than this many own times left: a held request is let go
+const HOLD_SHARE: f64 = 0.5; // and so is one that no member has had by this share of its client's time
 const SILENT_TIMES: f64 = 6.0; // an attempt out for this many own times is overdue
 const REPEAT_WORTH: f64 = 0.5; // worth of a marked repeat, at least, as a share of a first try's
 const PROBE_SHARE: f64 = 0.3; // probes that a request earns its router
@@ -134,8 +135,9 @@
     req: Request,
     c: usize,
     arrived: Time,
-    floor: Time, // position that a session or fresh read needs
-    worth: f64,  // less for a client's repeat, which mostly comes after the first try's aim
+    untried: Time, // until when it is held if no member has had it: its client can then still go elsewhere
+    floor: Time,   // position that a session or fresh read needs
+    worth: f64,    // less for a client's repeat, which mostly comes after the first try's aim
     tries: Vec<Try>,
 }
 
@@ -546,7 +548,7 @@
         };
         // Most clients of a class come with the same time left (told by vote); one with less has waited for a
         // router that stood still, or through an earlier try, and its aim runs from then on.
-        let left = req.give_up.since(self.now);
+        let (id, left) = (req.id, req.give_up.since(self.now));
         let (usual, votes) = &mut self.usual[c];
         let near = left.since(*usual).max(usual.since(left)) < self.set.tick.times(3.0);
         match (near, *votes) {
@@ -554,11 +556,10 @@
             (false, 0) => (*usual, *votes) = (left, 1),
             (false, n) => *votes = n - 1,
         }
-        let arrived = self.now.minus(usual.since(left));
+        let (arrived, untried) = (self.now.minus(usual.since(left)), self.now.plus(left.times(HOLD_SHARE)));
         let worth = class.worth * if req.repeat { class.late_worth.max(REPEAT_WORTH) } else { 1.0 };
-        let id = req.id;
         self.earn(PROBE_SHARE);
-        self.jobs.insert(id, Job { req, c, arrived, floor, worth, tries: Vec::new() });
+        self.jobs.insert(id, Job { req, c, arrived, untried, floor, worth, tries: Vec::new() });
         self.place(id, out);
     }
 
@@ -594,13 +595,14 @@
 
     /// Held only while an attempt may still be made and can still be answered in time.
     fn worth_holding(&self, job: &Job) -> bool {
-        let base = Time((self.base[job.c] * HOLD_TIMES * 1e9) as u64);
         let attempts = job.tries.len() < self.set.max_attempts as usize;
         let class = &self.set.classes[job.c];
         let keyed = |t: &Try| class.effect == Effect::Keyed && self.now.since(t.sent) < class.window;
         let again = class.effect == Effect::Safe || job.may_have_run().is_none_or(keyed);
         let some = attempts && again && self.groups.contains_key(&job.req.group);
-        some && self.now.plus(base).plus(SWEEP) < self.useful_until(job)
+        let had = job.tries.iter().any(|t| t.status != Some(Status::ConnectFailed));
+        let (soon, base) = (self.now.plus(SWEEP), Time((self.base[job.c] * HOLD_TIMES * 1e9) as u64));
+        some && soon.plus(base) < self.useful_until(job) && (had || soon < job.untried)
     }
 
     fn send(&mut self, id: RequestId, member: MemberId, out: &mut Vec<Action>) {
