--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -595,11 +595,10 @@
 
     /// Held only while an attempt may still be made and can still be answered in time.
     fn worth_holding(&self, job: &Job) -> bool {
-        let attempts = job.tries.len() < self.set.max_attempts as usize;
-        let class = &self.set.classes[job.c];
+        let (class, spent) = (&self.set.classes[job.c], job.tries.len() >= self.set.max_attempts as usize);
         let keyed = |t: &Try| class.effect == Effect::Keyed && self.now.since(t.sent) < class.window;
         let again = class.effect == Effect::Safe || job.may_have_run().is_none_or(keyed);
-        let some = attempts && again && self.groups.contains_key(&job.req.group);
+        let some = !spent && again && self.groups.contains_key(&job.req.group);
         let had = job.tries.iter().any(|t| t.status != Some(Status::ConnectFailed));
         let (soon, base) = (self.now.plus(SWEEP), Time((self.base[job.c] * HOLD_TIMES * 1e9) as u64));
         some && soon.plus(base) < self.useful_until(job) && (had || soon < job.untried)
--- a/crates/policy/tests/failures.rs
+++ b/crates/policy/tests/failures.rs
@@ -313,6 +313,31 @@
     assert!(b.refused(id), "long before the client would have left");
 }
 
+#[test]
+fn what_no_member_has_had_is_refused_by_half_of_its_clients_time() {
+    let mut b = Bench::new(settings());
+    let gone = |m| Entry { listed: Listed::Gone, ..entry(m, 0, m == 1) };
+    b.event(Event::List(ListForm::Delta, (1..=3).map(gone).collect()));
+    b.run(1100);
+    let id = b.ask(UNSAFE, 0);
+    b.run(700);
+    assert!(!b.refused(id), "an attempt may still be made");
+    b.run(60);
+    assert!(b.refused(id), "the client can still go elsewhere");
+    // One that members have had, and missed, is held on while its late answer earns something.
+    let mut set = settings();
+    set.max_attempts = 100;
+    let mut b = Bench::new(set);
+    let id = b.ask(UNSAFE, 0);
+    for _ in 0..90 {
+        if b.out(id) {
+            b.end(id, Status::Miss, 1, 10, Role::Replica);
+        }
+        b.run(10);
+    }
+    assert!(!b.refused(id) && b.tries[&id].len() > 3, "the search goes on past half");
+}
+
 #[test]
 fn remembered_writes_hold_back_their_sessions_reads() {
     let mut set = settings();
