SIGHUP reads the configuration again and follows discovery to its new address

Cause: program/mod.rs listened to SIGTERM and SIGINT alone, so SIGHUP ended the process; and transport::serve gave the watch and the fetches one address for good (watch::run, watch::fetches). Change: handlers stand before the file is read; the file is read on a thread of its own (crate blocking) through crates/config; an unsound one is named in one line and changes nothing; a new address gets a watch of its own at once, asks for the whole list, and the old watch goes on until the new one has told. A fetch that was out is not believed. Other keys that differ are named and need a restart. Read again, the file's discovery wins over the variable. Tests: a_new_discovery_is_followed_at_once_while_the_old_one_hangs, a_new_discovery_that_can_not_be_reached_..., on_sighup_the_file_is_read_again_and_an_unsound_one_changes_nothing, two in config.

--- a/crates/config/src/router.rs
+++ b/crates/config/src/router.rs
@@ -1,4 +1,5 @@
-//! What one router is told: its file (`BALANCER_CONFIG`) and variables. A variable wins over the file's key.
+//! What one router is told: its file (`BALANCER_CONFIG`) and variables. At the start a variable wins over the
+//! file's key. When the file is read again, its `discovery` wins: the variable can't have changed since.
 
 use crate::settings::{self, Site};
 use crate::{typed, ConfigError};
@@ -29,6 +30,28 @@
     pub overruled: Vec<String>,
 }
 
+/// When the file is read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reading {
+    /// As the router starts.
+    Start,
+    /// While it runs.
+    Again,
+}
+
+impl RouterConfig {
+    /// Keys in which a file read again differs from this one, but which a running router can't change.
+    pub fn needs_restart(&self, again: &RouterConfig) -> Vec<&'static str> {
+        let differs = [
+            ("name", self.name != again.name),
+            ("listen", self.listen != again.listen),
+            ("limits", self.limits != again.limits),
+            ("settings", self.site != again.site),
+        ];
+        differs.into_iter().filter(|(_, differs)| *differs).map(|(key, _)| key).collect()
+    }
+}
+
 /// Limits of the machine, and the times that follow from them and from the settings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -104,14 +127,22 @@
 }
 
 /// Reads the file at `path` and the variables that `variable` looks up.
-pub fn load(path: &Path, variable: impl Fn(&str) -> Option<String>) -> Result<RouterConfig, ConfigError> {
+pub fn load(
+    path: &Path,
+    variable: impl Fn(&str) -> Option<String>,
+    reading: Reading,
+) -> Result<RouterConfig, ConfigError> {
     let shown = path.display().to_string();
     let text = std::fs::read(path).map_err(|e| ConfigError::new(&shown, e.to_string()))?;
-    parse(&text, variable).map_err(|e| ConfigError::new(format!("{shown}: {}", e.key), e.problem))
+    parse(&text, variable, reading).map_err(|e| ConfigError::new(format!("{shown}: {}", e.key), e.problem))
 }
 
 /// Reads the file's text and the variables that `variable` looks up.
-pub fn parse(text: &[u8], variable: impl Fn(&str) -> Option<String>) -> Result<RouterConfig, ConfigError> {
+pub fn parse(
+    text: &[u8],
+    variable: impl Fn(&str) -> Option<String>,
+    reading: Reading,
+) -> Result<RouterConfig, ConfigError> {
     let value: Value = serde_json::from_slice(text).map_err(|e| ConfigError::new("(file)", e.to_string()))?;
     if !value.is_object() {
         return Err(ConfigError::new("(file)", "must be a JSON object"));
@@ -119,7 +150,8 @@
     let file: File = typed(value)?;
     let mut overruled = Vec::new();
     let mut pick = |key: &str, name: &str, in_file: Option<String>| {
-        let outside = variable(name).filter(|v| !v.is_empty());
+        let file_wins = reading == Reading::Again && key == "discovery" && in_file.is_some();
+        let outside = variable(name).filter(|v| !v.is_empty() && !file_wins);
         if outside.is_some() && in_file.is_some() && outside != in_file {
             overruled.push(key.to_string());
         }
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -17,7 +17,7 @@
 }
 
 /// A deployment: what the decisions are told, and what only the parts round them need.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Site {
     /// What the decisions are told.
     pub settings: Settings,
--- a/crates/config/tests/config.rs
+++ b/crates/config/tests/config.rs
@@ -1,6 +1,6 @@
 //! What the configuration says when something is wrong with it, and its defaults.
 
-use basalthill_config::router::{parse, stop_limit, RouterConfig};
+use basalthill_config::router::{parse, stop_limit, Reading, RouterConfig};
 use basalthill_config::settings::Reports;
 use basalthill_config::ConfigError;
 use basalthill_policy::api::{Consistency, Effect, Time};
@@ -32,7 +32,7 @@
 }
 
 fn load(value: &Value) -> Result<RouterConfig, ConfigError> {
-    parse(value.to_string().as_bytes(), |_| None)
+    parse(value.to_string().as_bytes(), |_| None, Reading::Start)
 }
 
 #[test]
@@ -67,10 +67,34 @@
         "BALANCER_NAME" => Some("n1".to_string()),
         _ => None,
     };
-    let c = parse(text.as_bytes(), variables).unwrap();
+    let c = parse(text.as_bytes(), variables, Reading::Start).unwrap();
     assert_eq!((c.listen.to_string().as_str(), c.overruled), ("127.0.0.2:6432", vec!["listen".to_string()]));
 }
 
+#[test]
+fn read_again_the_files_discovery_wins_over_the_variable_of_the_start() {
+    let variables = |name: &str| (name == "BALANCER_DISCOVERY").then(|| "127.0.0.9:1".to_string());
+    let read = |file: &Value, reading| parse(file.to_string().as_bytes(), variables, reading).unwrap();
+    assert_eq!(read(&sound(), Reading::Start).discovery.to_string(), "127.0.0.9:1");
+    let again = read(&sound(), Reading::Again);
+    assert_eq!((again.discovery.to_string().as_str(), again.overruled), ("127.0.0.1:8500", vec![]));
+    let mut without = sound();
+    without.as_object_mut().unwrap().remove("discovery");
+    assert_eq!(read(&without, Reading::Again).discovery.to_string(), "127.0.0.9:1");
+}
+
+#[test]
+fn what_a_running_router_can_not_change_is_named() {
+    let started = load(&sound()).unwrap();
+    let mut file = sound();
+    (file["seed"], file["discovery"]) = (json!("1"), json!("127.0.0.1:1"));
+    file["known"]["version"] = json!(2);
+    assert!(started.needs_restart(&load(&file).unwrap()).is_empty());
+    (file["listen"], file["limits"]["sockets"]) = (json!("127.0.0.1:1"), json!(600));
+    file["settings"]["profiles"][0]["aim"] = json!(500);
+    assert_eq!(started.needs_restart(&load(&file).unwrap()), ["listen", "limits", "settings"]);
+}
+
 #[test]
 fn each_fault_names_its_key() {
     let cases = [
@@ -105,8 +129,8 @@
         *file.pointer_mut(pointer).unwrap() = value.clone();
         assert_eq!(load(&file).map_err(|e| e.key).err().as_deref(), Some(key), "{pointer} = {value}");
     }
-    assert_eq!(parse(b"{", |_| None).map_err(|e| e.key).err().as_deref(), Some("(file)"));
-    assert_eq!(parse(b"[]", |_| None).map_err(|e| e.key).err().as_deref(), Some("(file)"));
+    assert_eq!(parse(b"{", |_| None, Reading::Start).map_err(|e| e.key).err().as_deref(), Some("(file)"));
+    assert_eq!(parse(b"[]", |_| None, Reading::Start).map_err(|e| e.key).err().as_deref(), Some("(file)"));
     let mut file = sound();
     file["settings"]["bounds"].as_object_mut().unwrap().remove("probes");
     let error = load(&file).err().unwrap();
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -97,7 +97,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// Freshness needed.
     pub consistency: Consistency,
@@ -118,7 +118,7 @@
 }
 
 /// A tenant.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
     /// Requests a second within its share, over all routers.
     pub quota_per_s: f64,
@@ -159,7 +159,7 @@
 }
 
 /// What a router is told when it starts.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
     /// This router.
     pub me: RouterId,
--- a/crates/router/src/program/mod.rs
+++ b/crates/router/src/program/mod.rs
@@ -3,15 +3,15 @@
 mod logger;
 
 use crate::protocol::host::{self, Ending, HostMessage, HostSide};
-use crate::transport;
+use crate::transport::{self, Command as Ask};
 use async_signal::{Signal, Signals};
-use basalthill_config::router::{load, RouterConfig};
+use basalthill_config::router::{load, Reading, RouterConfig};
 use basalthill_config::ConfigError;
 use clap::{Parser, Subcommand};
-use futures_lite::StreamExt;
+use futures_lite::{future, stream, Stream, StreamExt};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
@@ -64,7 +64,7 @@
             println!("basalthill {}", env!("CARGO_PKG_VERSION"));
             ExitCode::SUCCESS
         }
-        Command::CheckConfig(argument) => match read(argument) {
+        Command::CheckConfig(argument) => match path(argument).and_then(|p| read(&p, Reading::Start)) {
             Ok(config) => {
                 println!("{}: the configuration is sound", config.name);
                 ExitCode::SUCCESS
@@ -81,8 +81,8 @@
                 ExitCode::FAILURE
             }
         },
-        Command::Serve(argument) => match read(argument) {
-            Ok(config) => serve(config),
+        Command::Serve(argument) => match path(argument) {
+            Ok(path) => serve(path),
             Err(e) => bad(&e),
         },
     };
@@ -90,11 +90,13 @@
     code
 }
 
-fn read(argument: ConfigArgument) -> Result<RouterConfig, ConfigError> {
-    let Some(path) = argument.config else {
-        return Err(ConfigError::new("BALANCER_CONFIG", "is not set, and no --config is given"));
-    };
-    let config = load(&path, |name| std::env::var(name).ok())?;
+fn path(argument: ConfigArgument) -> Result<PathBuf, ConfigError> {
+    let missing = || ConfigError::new("BALANCER_CONFIG", "is not set, and no --config is given");
+    argument.config.ok_or_else(missing)
+}
+
+fn read(path: &Path, reading: Reading) -> Result<RouterConfig, ConfigError> {
+    let config = load(path, |name| std::env::var(name).ok(), reading)?;
     for key in &config.overruled {
         log::warn!("configuration: a variable overrules the file's {key}");
     }
@@ -143,13 +145,21 @@
     }
 }
 
-fn serve(config: RouterConfig) -> ExitCode {
-    let started = (|| {
-        let signals = Signals::new([Signal::Term, Signal::Int])?;
-        Ok::<_, std::io::Error>((signals, listen(config.listen)?))
-    })();
-    let (mut signals, listener) = match started {
-        Ok(started) => started,
+fn serve(path: PathBuf) -> ExitCode {
+    // The handlers stand before anything that may take a while: unhandled, SIGHUP would end the program.
+    let signals = match Signals::new([Signal::Term, Signal::Int, Signal::Hup]) {
+        Ok(signals) => signals,
+        Err(e) => {
+            eprintln!("basalthill: signals: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let config = match read(&path, Reading::Start) {
+        Ok(config) => config,
+        Err(e) => return bad(&e),
+    };
+    let listener = match listen(config.listen) {
+        Ok(listener) => listener,
         Err(e) => {
             eprintln!("basalthill: listen {}: {e}", config.listen);
             return ExitCode::FAILURE;
@@ -157,10 +167,7 @@
     };
     let listen = listener.local_addr().unwrap_or(config.listen);
     log::info!("{} listens on {listen}", config.name);
-    let stop = async move {
-        signals.next().await;
-    };
-    match transport::serve(listener, config, stop) {
+    match transport::serve(listener, config, commands(signals, path)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             log::error!("{e}");
@@ -168,3 +175,32 @@
         }
     }
 }
+
+/// What the signals ask for. On SIGHUP the file is read on a thread of its own, so that no request waits for
+/// it; another signal meanwhile is heard, and the newest file counts.
+fn commands(signals: Signals, path: PathBuf) -> impl Stream<Item = Ask> {
+    stream::unfold((signals, path), |(mut signals, path)| async move {
+        let mut again = None;
+        loop {
+            let signal = async { Err(signals.next().await) };
+            let file = async {
+                match again.as_mut() {
+                    Some(file) => Ok(file.await),
+                    None => future::pending().await,
+                }
+            };
+            match future::or(signal, file).await {
+                Err(Some(Ok(Signal::Hup))) => {
+                    let path = path.clone();
+                    again = Some(blocking::unblock(move || read(&path, Reading::Again)));
+                }
+                Err(_) => return Some((Ask::Stop, (signals, path))),
+                Ok(Ok(config)) => return Some((Ask::Reload(Box::new(config)), (signals, path))),
+                Ok(Err(e)) => {
+                    log::error!("configuration: not taken over, the old one stays in force: {e}");
+                    again = None;
+                }
+            }
+        }
+    })
+}
--- a/crates/router/src/transport/exchange.rs
+++ b/crates/router/src/transport/exchange.rs
@@ -125,6 +125,7 @@
     use crate::protocol::discovery::HostList;
     use crate::routing::ExchangeId;
     use async_executor::LocalExecutor;
+    use basalthill_config::router::{parse, Reading};
     use basalthill_policy::api::MemberId;
     use std::io::Read;
     use std::net::{Shutdown, TcpListener};
@@ -137,12 +138,12 @@
         let host = TcpListener::bind(("127.0.0.1", 0))?;
         let addr = host.local_addr()?;
         let text = CONFIG.replace("\"drainGrace\": 1000000000", &format!("\"drainGrace\": {grace}"));
-        let config = basalthill_config::router::parse(text.as_bytes(), |_| None).expect("a sound example");
+        let config = parse(text.as_bytes(), |_| None, Reading::Start).expect("a sound example");
         let member = format!(r#"{{"id":"a","addr":"{addr}","cell":1,"state":"{state}"}}"#);
         let list = format!(r#"{{"version":1,"full":true,"servers":[{member}]}}"#);
         let executor = Rc::new(LocalExecutor::new());
         let known = HostList::parse(list.as_bytes()).ok();
-        let hub = Hub::new(config, known, &executor);
+        let hub = Hub::new(&config, known, &executor);
         let stream = TcpStream::connect(addr)?;
         let (mut far, _) = host.accept()?;
         if broken {
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -19,14 +19,14 @@
 use basalthill_policy::api::Time;
 use budget::{Budget, Permit};
 use client::Slot;
-use futures_lite::future;
+use futures_lite::{future, Stream, StreamExt};
 use pool::Pool;
 use serde::Deserialize;
 use signal::Signal;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -39,6 +39,15 @@
 /// Bytes read at a time.
 const READ_AT_ONCE: usize = 16 * 1024;
 
+/// What the program asks of a router that runs.
+#[derive(Debug)]
+pub enum Command {
+    /// The configuration has been read again.
+    Reload(Box<RouterConfig>),
+    /// Stop in good order.
+    Stop,
+}
+
 /// What all tasks of a router share.
 struct Hub {
     clock: Clock,
@@ -51,6 +60,9 @@
     doors: Budget,
     large: Budget,
     scratch: RefCell<Vec<u8>>,
+    discovery: Cell<SocketAddr>,
+    /// The watches that are open: the newest, and until that has told its list the one before it.
+    watches: RefCell<BTreeMap<u64, Task<()>>>,
     armed: Cell<Time>,
     rearm: Signal,
     fetch: Signal,
@@ -63,13 +75,13 @@
 
 impl Hub {
     /// A router that has just started.
-    fn new(config: RouterConfig, known: Option<HostList>, executor: &Rc<LocalExecutor<'static>>) -> Rc<Hub> {
+    fn new(config: &RouterConfig, known: Option<HostList>, executor: &Rc<LocalExecutor<'static>>) -> Rc<Hub> {
         let clock = Clock::anchored();
         let connect_timeout = Duration::from_nanos(config.site.connect_timeout.0);
         let idle = Duration::from_nanos(config.site.conn_idle.times(IDLE_SHARE).0);
         let client_idle = Duration::from_nanos(config.site.conn_idle.times(CLIENT_IDLE_SHARE).0);
         let mut effects = Vec::new();
-        let router = Router::new(clock.now(), config.site, config.seed, known, &mut effects);
+        let router = Router::new(clock.now(), config.site.clone(), config.seed, known, &mut effects);
         let hub = Rc::new(Hub {
             clock,
             router: RefCell::new(router),
@@ -81,6 +93,8 @@
             doors: Budget::new(SOCKETS_RESERVED / 3),
             large: Budget::new(config.limits.large_statements()),
             scratch: RefCell::new(vec![0; READ_AT_ONCE]),
+            discovery: Cell::new(config.discovery),
+            watches: RefCell::default(),
             armed: Cell::new(Time(u64::MAX)),
             rearm: Signal::default(),
             fetch: Signal::default(),
@@ -148,6 +162,26 @@
         }
     }
 
+    /// Follows discovery at another address. The watch before goes on until the new one has told its list;
+    /// what is known stays meanwhile.
+    fn follow(self: &Rc<Hub>, addr: SocketAddr, from: Option<u64>) {
+        self.discovery.set(addr);
+        let number = self.watches.borrow().last_key_value().map_or(0, |(n, _)| n + 1);
+        let task = self.spawn(watch::run(Rc::clone(self), number, addr, from));
+        let mut watches = self.watches.borrow_mut();
+        // One that has told nothing yet has nothing to go on with.
+        while watches.len() > 1 {
+            watches.pop_last();
+        }
+        watches.extend(task.map(|t| (number, t)));
+    }
+
+    /// A watch has told its list; called from within it.
+    fn told(&self, number: u64) {
+        self.watches.borrow_mut().retain(|n, _| *n >= number);
+        self.listed.notify();
+    }
+
     /// A descriptor from the budget. When it is spent, the connection to a host that has idled longest makes
     /// room, or else the client that has.
     async fn permit(&self) -> Option<Permit> {
@@ -168,36 +202,54 @@
     }
 }
 
-/// Serves until `stop` ends, then takes the router down in good order.
+/// Serves until the commands end or say so, then takes the router down in good order.
 pub fn serve(
     listener: TcpListener,
     config: RouterConfig,
-    stop: impl Future<Output = ()>,
+    commands: impl Stream<Item = Command>,
 ) -> std::io::Result<()> {
     let listener = Async::new(listener)?;
-    let (discovery, limit) = (config.discovery, stop_limit(&config.site));
+    let limit = stop_limit(&config.site);
     let known = known(&config);
     let from = known.as_ref().map(|list| list.version);
     let named = known.as_ref().is_some_and(|list| !list.servers.is_empty());
     let executor = Rc::new(LocalExecutor::new());
-    let hub = Hub::new(config, known, &executor);
+    let hub = Hub::new(&config, known, &executor);
     let listening = hub.spawn(accept(Rc::clone(&hub), listener, named));
     let always = [
-        hub.spawn(watch::run(Rc::clone(&hub), discovery, from)),
-        hub.spawn(watch::fetches(Rc::clone(&hub), discovery)),
+        hub.spawn(watch::fetches(Rc::clone(&hub))),
         hub.spawn(timers(Rc::clone(&hub))),
         hub.spawn(tidy(Rc::clone(&hub))),
     ];
+    hub.follow(config.discovery, from);
     async_io::block_on(executor.run(async {
-        stop.await;
+        let mut commands = std::pin::pin!(commands);
+        while let Some(Command::Reload(again)) = commands.next().await {
+            reload(&hub, &config, &again);
+        }
         stop_in_order(&hub, listening, limit).await;
     }));
     drop(always);
     // Without an executor the hub spawns nothing more; dropping the last handle ends every task.
     hub.executor.borrow_mut().take();
+    hub.watches.borrow_mut().clear();
     Ok(())
 }
 
+/// Takes over what can change in a running router, and says what can't.
+fn reload(hub: &Rc<Hub>, started: &RouterConfig, again: &RouterConfig) {
+    for key in started.needs_restart(again) {
+        log::warn!("configuration: {key} has changed, which needs a restart; the old value stays");
+    }
+    match again.discovery == hub.discovery.get() {
+        true => log::info!("configuration: read again, discovery stays at {}", again.discovery),
+        false => {
+            log::info!("configuration: read again, discovery is at {} from now on", again.discovery);
+            hub.follow(again.discovery, None);
+        }
+    }
+}
+
 /// The list in the configuration, if there is one that can be read.
 fn known(config: &RouterConfig) -> Option<HostList> {
     if config.known.is_null() {
--- a/crates/router/src/transport/watch.rs
+++ b/crates/router/src/transport/watch.rs
@@ -1,4 +1,5 @@
-//! Discovery's watch: kept open, and opened again when it ends or falls silent.
+//! Discovery's watch: kept open, and opened again when it ends or falls silent. Each address has a watch of
+//! its own, with its versions: those of another discovery may not compare.
 
 use super::{io, Hub};
 use crate::protocol::discovery::{list_request, watch_request, WatchMessage, WatchSide};
@@ -30,12 +31,12 @@
 }
 
 /// Follows the list for ever, from the version known at first.
-pub async fn run(hub: Rc<Hub>, addr: SocketAddr, from: Option<u64>) {
+pub async fn run(hub: Rc<Hub>, number: u64, addr: SocketAddr, from: Option<u64>) {
     let mut version = from;
     let mut rest = REST_FIRST;
     loop {
         let mut told = false;
-        match follow(&hub, addr, &mut version, &mut told).await {
+        match follow(&hub, number, addr, &mut version, &mut told).await {
             End::Failed(error) => log::warn!("discovery: {error}; the watch is opened again, the list kept"),
             End::Unreadable(error) => {
                 log::warn!("discovery: {error}; the whole list is asked for, the old one kept");
@@ -48,7 +49,13 @@
 }
 
 /// One watch, to its end.
-async fn follow(hub: &Rc<Hub>, addr: SocketAddr, version: &mut Option<u64>, told: &mut bool) -> End {
+async fn follow(
+    hub: &Rc<Hub>,
+    number: u64,
+    addr: SocketAddr,
+    version: &mut Option<u64>,
+    told: &mut bool,
+) -> End {
     let stream = match ask(addr, &watch_request(&addr.to_string(), *version)).await {
         Ok(stream) => stream,
         Err(end) => return end,
@@ -60,7 +67,7 @@
             Ok(Some(WatchMessage::List(list))) => {
                 (*version, *told) = (Some(list.version), true);
                 hub.input(Input::List(list));
-                hub.listed.notify();
+                hub.told(number);
                 continue;
             }
             Ok(Some(WatchMessage::Nothing)) => continue,
@@ -88,9 +95,10 @@
 }
 
 /// Fetches the whole list, beside the watch, whenever it is asked for.
-pub async fn fetches(hub: Rc<Hub>, addr: SocketAddr) {
+pub async fn fetches(hub: Rc<Hub>) {
     loop {
         hub.fetch.wait().await;
+        let addr = hub.discovery.get();
         if let Err(End::Failed(e) | End::Unreadable(e)) = fetch(&hub, addr).await {
             log::warn!("discovery: fetching the list: {e}");
         }
@@ -102,6 +110,11 @@
     let mut side = WatchSide::default();
     loop {
         match side.take().map_err(|e| End::Unreadable(e.to_string()))? {
+            // Discovery may have moved meanwhile: its new address has told, or will tell, the newer list.
+            Some(WatchMessage::List(_)) if addr != hub.discovery.get() => {
+                hub.fetch.notify();
+                return Ok(());
+            }
             Some(WatchMessage::List(list)) => {
                 hub.input(Input::List(list));
                 hub.listed.notify();
--- a/crates/router/tests/program.rs
+++ b/crates/router/tests/program.rs
@@ -150,6 +150,58 @@
     assert_eq!(child.wait().unwrap().code(), Some(0));
 }
 
+#[test]
+fn on_sighup_the_file_is_read_again_and_an_unsound_one_changes_nothing() {
+    let host = Host::start(|_| (Reply::Row(b"x1=1".to_vec()), Vec::new())).unwrap();
+    let known = list(1, true, &[("s-1", host.addr, 2, "active", "source")]);
+    let (one, two) = (Discovery::start(known.clone()).unwrap(), Discovery::start(known.clone()).unwrap());
+    let text = |discovery: SocketAddr, name: &str, settings: &str| {
+        format!(r#"{{"name":"{name}","discovery":"{discovery}","known":{known},"settings":{settings}}}"#)
+    };
+    let path = file(&format!("again-{}", host.addr.port()), &text(one.addr, "n1", SETTINGS));
+    let mut child = program()
+        .env("BALANCER_LISTEN", "127.0.0.1:0")
+        .env("BALANCER_DISCOVERY", one.addr.to_string())
+        .env("BALANCER_CONFIG", &path)
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+    let mut say = |part: &str| lines.find(|line| line.as_ref().unwrap().contains(part)).unwrap().unwrap();
+    let addr = say("listens on").split_once("listens on ").unwrap().1.parse().unwrap();
+    let mut client = Client::connect(addr).unwrap();
+    let whole = text(two.addr, "n1", SETTINGS);
+    let unsound = [
+        (whole[..whole.len() / 2].to_string(), "(file)"),
+        (
+            text(two.addr, "n1", &SETTINGS.replace("\"strong\"", "\"odd\"")),
+            "settings.familyInfo.consistency[2]",
+        ),
+        (whole.replace(&two.addr.to_string(), "nowhere"), "discovery"),
+    ];
+    for (text, key) in unsound {
+        std::fs::write(&path, text).unwrap();
+        signal(&child, "HUP");
+        let line = say("stays in force");
+        assert!(line.contains(key), "{line}");
+        assert_eq!(client.ask("").unwrap(), Answer::Empty, "the connection stays");
+    }
+    std::fs::remove_file(&path).unwrap();
+    signal(&child, "HUP");
+    say("stays in force");
+    assert!(two.told.lock().requests.is_empty(), "nothing of an unsound file is taken over");
+    // Several signals at once end with the newest file.
+    std::fs::write(&path, text(two.addr, "another", SETTINGS)).unwrap();
+    (0..20).for_each(|_| signal(&child, "HUP"));
+    say("name has changed, which needs a restart");
+    assert!(two.told.wait(|t| (!t.requests.is_empty()).then_some(())).is_some());
+    assert_eq!(client.ask("").unwrap(), Answer::Empty);
+    signal(&child, "HUP");
+    signal(&child, "TERM");
+    assert!(client.ended());
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+}
+
 /// The commands of `examples/README.md`, with ports of this test's own.
 #[test]
 fn the_example_does_what_its_page_says() {
--- a/crates/router/tests/transport.rs
+++ b/crates/router/tests/transport.rs
@@ -3,18 +3,20 @@
 mod common;
 
 use async_io::Async;
-use basalthill_config::router::parse;
-use basalthill_router::transport;
+use basalthill_config::router::{parse, Reading, RouterConfig};
+use basalthill_router::transport::{self, Command};
 use basalthill_standin::client::{query, startup, Answer, Client};
 use basalthill_standin::discovery::{list, Discovery};
 use basalthill_standin::host::{Host, Reply, Telling};
 use basalthill_standin::{unix_ms, Watched, PATIENCE};
 use common::{text, SETTINGS};
+use futures_lite::{stream, AsyncReadExt};
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Sender};
 use std::sync::Arc;
 use std::thread::JoinHandle;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// So little that one large statement at a time is read on.
 const MEMORY_MB: u64 = 1;
@@ -23,6 +25,8 @@
 struct Served {
     addr: SocketAddr,
     stop: Option<TcpStream>,
+    again: Sender<RouterConfig>,
+    config: String,
     thread: Option<JoinHandle<()>>,
     over: Arc<Watched<bool>>,
 }
@@ -36,18 +40,33 @@
             "limits":{{"cores":1.0,"memory_mb":{MEMORY_MB},"sockets":{sockets}}},
             "known":{known},"settings":{settings}}}"#
         );
-        let config = parse(text.as_bytes(), |_| None).unwrap();
+        let config = parse(text.as_bytes(), |_| None, Reading::Start).unwrap();
         let door = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
         let stop = TcpStream::connect(door.local_addr().unwrap()).unwrap();
         let stopped = door.accept().unwrap().0;
+        let (again, configs) = channel::<RouterConfig>();
         let over = Arc::new(Watched::default());
         let tell = Arc::clone(&over);
         let thread = std::thread::spawn(move || {
-            let stopped = Async::new(stopped).unwrap();
-            transport::serve(listener, config, async move { drop(stopped.readable().await) }).unwrap();
+            // Each byte announces a configuration read again; the end of the stream is the signal to stop.
+            let commands = stream::unfold(Async::new(stopped).unwrap(), |mut s| async {
+                let n = s.read(&mut [0]).await.unwrap();
+                let command =
+                    if n == 0 { Command::Stop } else { Command::Reload(configs.recv().unwrap().into()) };
+                Some((command, s))
+            });
+            transport::serve(listener, config, commands).unwrap();
             tell.change(|o| *o = true);
         });
-        Served { addr, stop: Some(stop), thread: Some(thread), over }
+        Served { addr, stop: Some(stop), again, config: text, thread: Some(thread), over }
+    }
+
+    /// Has the router read a configuration again that names another discovery.
+    fn moved(&self, from: SocketAddr, to: SocketAddr) {
+        let text =
+            self.config.replace(&format!("\"discovery\":\"{from}\""), &format!("\"discovery\":\"{to}\""));
+        self.again.send(parse(text.as_bytes(), |_| None, Reading::Again).unwrap()).unwrap();
+        self.stop.as_ref().unwrap().write_all(&[0]).unwrap();
     }
 
     /// One primary, with discovery telling the same.
@@ -469,3 +488,57 @@
     clients.pop().unwrap().stream.shutdown(Shutdown::Both).unwrap();
     assert_eq!(clients[0].answer().unwrap(), row(b"x"));
 }
+
+#[test]
+fn a_new_discovery_is_followed_at_once_while_the_old_one_hangs() {
+    let (one, two) = (host(|_| Reply::Row(b"one".to_vec())), host(|_| Reply::Row(b"two".to_vec())));
+    let known = list(70, true, &[("s-1", one.addr, 2, "active", "source")]);
+    let old = Discovery::start(known.clone()).unwrap();
+    old.told.change(|t| t.silent = true);
+    // Its version is lower: versions of two discoveries can't be compared.
+    let new = Discovery::start(list(3, true, &[("s-2", two.addr, 2, "active", "source")])).unwrap();
+    let served = Served::start(&known, old.addr, 256, SETTINGS);
+    old.told.wait(|t| (!t.requests.is_empty()).then_some(())).unwrap();
+    let mut client = served.client();
+    assert_eq!(client.ask(&text("write", "")).unwrap(), row(b"one"));
+    let moved = Instant::now();
+    served.moved(old.addr, new.addr);
+    let asked = new.told.wait(|t| t.requests.first().cloned()).unwrap();
+    assert!(asked.contains("watch=1") && !asked.contains("from="), "the whole list is asked for: {asked}");
+    // Told within moments, where waiting for the old watch to fall silent would take five seconds. For the
+    // grace after the removal the old member may still be sent writes.
+    let served_by_two = (0..).find(|_| client.ask(&text("write", "")).unwrap() == row(b"two"));
+    assert!(served_by_two.is_some() && moved.elapsed() < Duration::from_secs(4), "{:?}", moved.elapsed());
+    new.tell(list(
+        4,
+        false,
+        &[("s-1", one.addr, 2, "active", "source"), ("s-2", two.addr, 2, "left", "copy")],
+    ));
+    assert!(
+        (0..100_000).any(|_| client.ask(&text("write", "")).unwrap() == row(b"one")),
+        "its changes count"
+    );
+}
+
+#[test]
+fn a_new_discovery_that_can_not_be_reached_ends_neither_service_nor_the_old_watch() {
+    let (one, two) = (host(|_| Reply::Row(b"one".to_vec())), host(|_| Reply::Row(b"two".to_vec())));
+    let known = list(1, true, &[("s-1", one.addr, 2, "active", "source")]);
+    let old = Discovery::start(known.clone()).unwrap();
+    let served = Served::start(&known, old.addr, 256, SETTINGS);
+    let mut client = served.client();
+    old.told.wait(|t| (!t.requests.is_empty()).then_some(())).unwrap();
+    for _ in 0..3 {
+        served.moved(old.addr, nobody());
+        assert_eq!(client.ask(&text("write", "")).unwrap(), row(b"one"));
+    }
+    old.tell(list(
+        2,
+        false,
+        &[("s-1", one.addr, 2, "left", "copy"), ("s-2", two.addr, 2, "active", "source")],
+    ));
+    assert!((0..100_000).any(|_| client.ask(&text("write", "")).unwrap() == row(b"two")));
+    let mut served = served;
+    served.stop();
+    assert!(served.over.wait(|o| o.then_some(())).is_some());
+}
