Quiet clients make room for newcomers above a quarter of the descriptors

Checked: members and decisions were well (3 errors; the tally shows no refusals of its own). A probe of what connections are at: all idle after one answer, none silent, none busy. So clients' own third of the descriptors had been full. At fault: Hub::permit and accept in transport/mod.rs (one budget, a client made room only after a second's idling and only when all was spent; accepting waited for a door), client.rs (no time limit on a client that has not asked). Change: Hub::seat, Slot::room, limits in crates/config. Also: a client has 2 s for its first request and for each message and 5 s to take an answer; 16 commands running that are none of ours end a connection; others get a turn in between; accepting never waits for a goodbye. Harm: a client idle for less than a second may be closed where many hold on; it opens another connection.

--- a/crates/config/src/router.rs
+++ b/crates/config/src/router.rs
@@ -65,6 +65,24 @@
 pub const SOCKETS_RESERVED: usize = 24;
 
 impl Limits {
+    /// How many descriptors exchanges and clients may hold.
+    pub fn descriptors(&self) -> usize {
+        self.sockets.saturating_sub(SOCKETS_RESERVED)
+    }
+
+    /// How many of them clients may hold at most: with the other half, connections to members never want for
+    /// one, however many clients come.
+    pub fn client_descriptors(&self) -> usize {
+        self.descriptors() / 2
+    }
+
+    /// With more than this, a newcomer takes the place of the client that has been quiet for longest. Clients
+    /// together use a third of all descriptors; many ask once and hold on to their connection for good, and
+    /// those that have something to ask would find no room.
+    pub fn quiet_clients(&self) -> usize {
+        self.sockets / 4
+    }
+
     /// How many statements past [`LARGE`] may be on the way at a time: a quarter of the memory is theirs, and
     /// one may stand in memory twice while it is taken over.
     pub fn large_statements(&self) -> usize {
@@ -82,9 +100,19 @@
 /// request meets the member's closing.
 pub const IDLE_SHARE: f64 = 0.8;
 
-/// The share of that time after which an idle client may be closed where descriptors are short: it opens
-/// another connection when it needs one.
-pub const CLIENT_IDLE_SHARE: f64 = 1.0 / 15.0;
+/// Where descriptors are short, a client with no open request makes room after this time: one that has just
+/// connected, or has just had its answer, may be about to ask.
+pub const CLIENT_QUIET: Time = Time::ms(20);
+
+/// A client has this long from connecting to its first request, and for each message from its first byte to
+/// its last.
+pub const CLIENT_WHOLE: Time = Time::ms(2000);
+
+/// A client takes an answer within this time, or its connection is closed.
+pub const CLIENT_TAKES: Time = Time::ms(5000);
+
+/// So many commands running that are none of ours end a client's connection.
+pub const CLIENT_FAULTS: u32 = 16;
 
 /// After the signal to stop, requests are taken as usual for this long: the front goes on dealing meanwhile.
 pub const STOP_SERVING: Time = Time::ms(500);
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -6,29 +6,74 @@
 use crate::protocol::frames::READY;
 use crate::protocol::statement::Statement;
 use crate::routing::{Answer, ClientId, Input};
-use async_io::Async;
-use basalthill_config::router::LARGE;
+use async_io::{Async, Timer};
+use basalthill_config::router::{CLIENT_FAULTS, CLIENT_QUIET, CLIENT_TAKES, CLIENT_WHOLE, LARGE};
 use futures_lite::future;
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
+use std::io::Write;
 use std::net::TcpStream;
 use std::rc::Rc;
 use std::task::{Poll, Waker};
 use std::time::{Duration, Instant};
 
-/// Where a client's answer is left for its task, and how long the client has asked nothing.
-#[derive(Default)]
+/// What a client's connection is at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// It has asked nothing so far, since it connected.
+    Unasked(Instant),
+    /// Its request is out.
+    Busy,
+    /// It has had its answers and asked nothing more since then.
+    Idle(Instant),
+    /// It has been told that its connection ends.
+    Leaving(Instant),
+}
+
+/// Where a client's answer is left for its task, and what the connection is at.
 pub struct Slot {
     answer: RefCell<Option<Answer>>,
     waker: RefCell<Option<Waker>>,
-    idle: Cell<Option<Instant>>,
+    stage: Cell<Stage>,
     ended: Cell<bool>,
 }
 
+/// How readily a client makes room where descriptors are short, the readiest last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Room {
+    /// Not at all.
+    No,
+    /// Not yet, but in a moment.
+    Soon,
+    /// It has idled for so long.
+    Idle(Duration),
+    /// It has asked nothing, or is leaving, for so long.
+    Unasked(Duration),
+}
+
 impl Slot {
-    /// How long the client has asked nothing; zero while a request of it is out.
-    pub fn idle_for(&self) -> Duration {
-        self.idle.get().map(|since| since.elapsed()).unwrap_or_default()
+    fn new() -> Slot {
+        Slot {
+            answer: RefCell::default(),
+            waker: RefCell::default(),
+            stage: Cell::new(Stage::Unasked(Instant::now())),
+            ended: Cell::new(false),
+        }
+    }
+
+    /// How readily it makes room.
+    pub fn room(&self) -> Room {
+        let (quiet, stage) = (Duration::from_nanos(CLIENT_QUIET.0), self.stage.get());
+        match stage {
+            Stage::Busy => Room::No,
+            // Its task is on its way out.
+            _ if self.ended.get() => Room::Soon,
+            Stage::Unasked(since) | Stage::Idle(since) | Stage::Leaving(since) if since.elapsed() < quiet => {
+                Room::Soon
+            }
+            Stage::Idle(since) => Room::Idle(since.elapsed()),
+            Stage::Unasked(since) | Stage::Leaving(since) => Room::Unasked(since.elapsed()),
+        }
     }
 
     /// Has the connection closed, if it is between two requests.
@@ -68,7 +113,11 @@
     id: ClientId,
     slot: Rc<Slot>,
     large: RefCell<Option<Permit>>,
-    _permit: Permit,
+    /// When the first byte of the message came that is not whole yet.
+    begun: Cell<Option<Instant>>,
+    /// Commands running that were none of ours.
+    faults: Cell<u32>,
+    _permits: [Permit; 2],
 }
 
 impl Drop for Seat {
@@ -83,21 +132,47 @@
 struct Over;
 
 /// Serves a client until its connection ends.
-pub async fn run(hub: Rc<Hub>, id: ClientId, stream: Async<TcpStream>, permit: Permit) {
+pub async fn run(hub: Rc<Hub>, id: ClientId, stream: Async<TcpStream>, permits: [Permit; 2]) {
     let _ = stream.get_ref().set_nodelay(true);
-    let slot = Rc::new(Slot::default());
+    let slot = Rc::new(Slot::new());
     hub.clients.borrow_mut().insert(id, Rc::clone(&slot));
-    let seat = Seat { hub, id, slot, large: RefCell::default(), _permit: permit };
+    let (begun, faults) = (Cell::default(), Cell::default());
+    let seat = Seat { hub, id, slot, large: RefCell::default(), begun, faults, _permits: permits };
     let mut side = ClientSide::default();
     while let Ok(()) = turn(&seat, &stream, &mut side).await {}
 }
 
-/// Tells a client that there is no descriptor for it.
-pub async fn turn_away(hub: Rc<Hub>, stream: Async<TcpStream>, _door: Permit) {
-    log::warn!("no descriptor left for a client");
-    if io::write(&stream, &[&client::fatal("53300", "too many connections")]).await.is_ok() {
-        io::part(&hub, &stream).await;
+/// Tells a client that there is no descriptor for it. Without a door it is told what fits, and that is all.
+pub async fn turn_away(hub: Rc<Hub>, stream: Async<TcpStream>, door: Option<Permit>) {
+    hub.turned_away.set(hub.turned_away.get() + 1);
+    let words = client::fatal("53300", "too many connections");
+    if door.is_some() && io::write(&stream, &[&words]).await.is_ok() {
+        return io::part(&hub, &stream, future::pending()).await;
+    }
+    // What has come is read, or closing would reset the connection before the client has read its answer.
+    let _ = io::read_now(&hub, &stream);
+    let _ = stream.get_ref().write(&words);
+}
+
+/// Writes to a client, which has its time to take it.
+async fn write(stream: &Async<TcpStream>, parts: &[&[u8]]) -> Result<(), Over> {
+    let late = async {
+        Timer::after(Duration::from_nanos(CLIENT_TAKES.0)).await;
+        Err(std::io::ErrorKind::TimedOut.into())
+    };
+    future::or(io::write(stream, parts), late).await.map_err(|_| Over)
+}
+
+/// Says that the connection ends, and ends it.
+async fn dismiss(seat: &Seat, stream: &Async<TcpStream>, code: &str, message: &str) -> Over {
+    log::debug!("client {}: {message}", seat.id.0);
+    let hub = &seat.hub;
+    hub.dismissed.set(hub.dismissed.get() + 1);
+    seat.slot.stage.set(Stage::Leaving(Instant::now()));
+    if write(stream, &[&client::fatal(code, message)]).await.is_ok() {
+        io::part(hub, stream, seat.slot.until(|| seat.slot.ended.get().then_some(()))).await;
     }
+    Over
 }
 
 /// Takes the next message and answers it.
@@ -108,34 +183,52 @@
     let message = match side.take() {
         Ok(Some(message)) => message,
         Ok(None) => return more(seat, stream, side).await,
-        Err(e) => {
-            log::debug!("client: {e}");
-            if io::write(stream, &[&client::fatal("08P01", &e.to_string())]).await.is_ok() {
-                io::part(&seat.hub, stream).await;
-            }
-            return Err(Over);
-        }
+        Err(e) => return Err(dismiss(seat, stream, "08P01", &e.to_string()).await),
     };
+    seat.begun.take();
     let reply = match message {
         ClientMessage::Encryption => client::NO_ENCRYPTION.to_vec(),
         ClientMessage::CancelRequest | ClientMessage::Terminate => return Err(Over),
         ClientMessage::Startup { newer } => client::welcome(newer),
-        ClientMessage::Unsupported(b'F') => client::error("0A000", "only simple queries are served", None),
-        ClientMessage::Unsupported(_) => client::unsupported(),
+        ClientMessage::Unsupported(kind) => {
+            let whole = client::error("0A000", "only simple queries are served", None);
+            return fault(seat, stream, if kind == b'F' { whole } else { client::unsupported() }).await;
+        }
         ClientMessage::Sync => READY.to_vec(),
-        ClientMessage::Query(text) if text.trim_ascii().is_empty() => client::empty_query(),
+        ClientMessage::Query(text) if text.trim_ascii().is_empty() => {
+            seat.slot.stage.set(Stage::Busy);
+            client::empty_query()
+        }
         ClientMessage::Query(text) => match Statement::parse(text) {
             Ok(statement) => return request(seat, stream, side, statement).await,
-            Err(e) => client::error(e.code, &e.message, None),
+            Err(e) => return fault(seat, stream, client::error(e.code, &e.message, None)).await,
         },
     };
-    io::write(stream, &[&reply]).await.map_err(|_| Over)
+    write(stream, &[&reply]).await
+}
+
+/// Answers what is none of ours. A client that goes on with such ends its connection, and others get their
+/// turn in between: it may send as fast as it can.
+async fn fault(seat: &Seat, stream: &Async<TcpStream>, reply: Vec<u8>) -> Result<(), Over> {
+    seat.faults.set(seat.faults.get() + 1);
+    write(stream, &[&reply]).await?;
+    if seat.faults.get() >= CLIENT_FAULTS {
+        return Err(dismiss(seat, stream, "08P01", "too many commands that are not served").await);
+    }
+    future::yield_now().await;
+    Ok(())
 }
 
-/// Waits for more bytes; between requests a router that stops closes its connections.
+/// Waits for more bytes; between requests a router that stops closes its connections. A client that has long
+/// asked nothing, or does not finish what it has begun, is told so.
 async fn more(seat: &Seat, stream: &Async<TcpStream>, side: &mut ClientSide) -> Result<(), Over> {
     let (hub, slot) = (&seat.hub, &seat.slot);
-    slot.idle.set(Some(Instant::now()));
+    if slot.stage.get() == Stage::Busy {
+        slot.stage.set(Stage::Idle(Instant::now()));
+    }
+    if side.waiting() > 0 && seat.begun.get().is_none() {
+        seat.begun.set(Some(Instant::now()));
+    }
     let closing = slot.until(|| (hub.closing.get() || slot.ended.get()).then_some(Err(Over)));
     let fill = async {
         // Long statements are read on a few at a time, or they would fill the memory together.
@@ -144,13 +237,25 @@
             seat.large.replace(Some(place));
         }
         match io::read(hub, stream, |bytes| side.feed(bytes)).await {
-            Ok(1..) => Ok(()),
+            Ok(1..) => Ok(true),
             _ => Err(Over),
         }
     };
-    let more = future::or(fill, closing).await;
-    slot.idle.set(None);
-    more
+    let late = async {
+        let unasked = match slot.stage.get() {
+            Stage::Unasked(since) => Some(since),
+            _ => None,
+        };
+        match unasked.or(seat.begun.get()) {
+            Some(since) => drop(Timer::at(since + Duration::from_nanos(CLIENT_WHOLE.0)).await),
+            None => future::pending().await,
+        }
+        Ok(false)
+    };
+    match future::or(fill, future::or(closing, late)).await? {
+        true => Ok(()),
+        false => Err(dismiss(seat, stream, "57P05", "no whole request has come in time").await),
+    }
 }
 
 async fn request(
@@ -159,6 +264,7 @@
     side: &mut ClientSide,
     statement: Statement,
 ) -> Result<(), Over> {
+    let before = seat.slot.stage.replace(Stage::Busy);
     seat.hub.input(Input::Request(seat.id, Box::new(statement)));
     let answer = loop {
         let ready = async { Ok(Some(seat.slot.until(|| seat.slot.answer.borrow_mut().take()).await)) };
@@ -179,15 +285,19 @@
     };
     let reply = match answer {
         Answer::Served(row) => {
+            seat.faults.set(0);
             let part = |n: usize| &row.bytes[row.parts[n].clone()];
-            return io::write(stream, &[part(0), part(1), part(2), READY]).await.map_err(|_| Over);
+            return write(stream, &[part(0), part(1), part(2), READY]).await;
         }
         Answer::Refused(after) => {
             let detail = after.map(|ms| ms.to_string());
             client::error("53300", "turned away; trying again does no harm", detail.as_deref())
         }
         Answer::Failed => client::error("58000", "no answer could be had", None),
-        Answer::Invalid(e) => client::error(e.code, &e.message, None),
+        Answer::Invalid(e) => {
+            seat.slot.stage.set(before);
+            return fault(seat, stream, client::error(e.code, &e.message, None)).await;
+        }
     };
-    io::write(stream, &[&reply]).await.map_err(|_| Over)
+    write(stream, &[&reply]).await
 }
--- a/crates/router/src/transport/exchange.rs
+++ b/crates/router/src/transport/exchange.rs
@@ -127,7 +127,7 @@
     use async_executor::LocalExecutor;
     use basalthill_config::router::{parse, Reading};
     use basalthill_policy::api::MemberId;
-    use std::io::Read;
+    use std::io::{Read, Write};
     use std::net::{Shutdown, TcpListener};
 
     const CONFIG: &str = include_str!("../../../../examples/router.json");
@@ -180,4 +180,33 @@
         assert_eq!(ended("left", "0", false)?, (Ended::Withheld, 0));
         Ok(())
     }
+
+    #[test]
+    fn a_want_of_descriptors_is_waited_out_and_no_failure_of_the_member() -> std::io::Result<()> {
+        let host = TcpListener::bind(("127.0.0.1", 0))?;
+        let addr = host.local_addr()?;
+        let config = parse(CONFIG.as_bytes(), |_| None, Reading::Start).expect("a sound example");
+        let executor = Rc::new(LocalExecutor::new());
+        let hub = Hub::new(&config, None, &executor);
+        let mut taken: Vec<_> = std::iter::from_fn(|| hub.budget.take()).collect();
+        let far = std::thread::spawn(move || {
+            let mut far = host.accept()?.0;
+            let mut bytes = [0; 64];
+            let _ = far.read(&mut bytes)?;
+            far.write_all(b"R\0\0\0\x08\0\0\0\0Z\0\0\0\x05I")?;
+            far.read(&mut bytes)
+        });
+        let order =
+            Order { id: ExchangeId::Probe(99), member: MemberId(0), addr, query: Query::Own("SELECT 1") };
+        let free = async {
+            // Long enough for the exchange to find nothing, and well within its time for a connection.
+            Timer::after(LOOK_AGAIN * 2).await;
+            taken.pop();
+            future::pending().await
+        };
+        let ended = async_io::block_on(executor.run(future::or(run(&hub, order), free)));
+        assert_eq!(ended, Ended::Broken, "the query was written, and the member closed");
+        assert_eq!(far.join().expect("a far side")?, 14);
+        Ok(())
+    }
 }
--- a/crates/router/src/transport/io.rs
+++ b/crates/router/src/transport/io.rs
@@ -3,6 +3,7 @@
 use super::Hub;
 use async_io::{Async, Timer};
 use futures_lite::future;
+use std::future::Future;
 use std::io::{self, ErrorKind, IoSlice, Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::time::Duration;
@@ -22,6 +23,11 @@
         .await
 }
 
+/// Reads off what has come, without waiting.
+pub fn read_now(hub: &Hub, stream: &Async<TcpStream>) -> io::Result<usize> {
+    stream.get_ref().read(&mut hub.scratch.borrow_mut())
+}
+
 /// Writes all parts in order, from where they lie.
 pub async fn write(stream: &Async<TcpStream>, parts: &[&[u8]]) -> io::Result<()> {
     let total: usize = parts.iter().map(|p| p.len()).sum();
@@ -52,13 +58,18 @@
 }
 
 /// Ends a connection so that what was written last arrives: with bytes unread, closing would reset it.
-pub async fn part(hub: &Hub, stream: &Async<TcpStream>) {
+/// `enough` ends the wait for the other side's closing early.
+pub async fn part(hub: &Hub, stream: &Async<TcpStream>, enough: impl Future<Output = ()>) {
     let _ = stream.get_ref().shutdown(Shutdown::Write);
-    let rest = async { while matches!(read(hub, stream, |_| {}).await, Ok(1..)) {} };
-    let enough = async {
+    let rest = async {
+        while matches!(read(hub, stream, |_| {}).await, Ok(1..)) {
+            future::yield_now().await;
+        }
+    };
+    let late = async {
         Timer::after(PART_WITHIN).await;
     };
-    future::or(rest, enough).await;
+    future::or(rest, future::or(late, enough)).await;
 }
 
 /// Whether an idle connection is still open and silent.
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -13,12 +13,10 @@
 use crate::routing::{Answer, ClientId, Clock, Effect, Ended, ExchangeId, Input, Order, Router, Tally};
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
-use basalthill_config::router::{
-    stop_limit, RouterConfig, CLIENT_IDLE_SHARE, IDLE_SHARE, SOCKETS_RESERVED, STOP_SERVING,
-};
+use basalthill_config::router::{stop_limit, RouterConfig, IDLE_SHARE, SOCKETS_RESERVED, STOP_SERVING};
 use basalthill_policy::api::Time;
-use budget::{Budget, Permit};
-use client::Slot;
+use budget::{Budget, Permit, LOOK_AGAIN};
+use client::{Room, Slot};
 use futures_lite::{future, Stream, StreamExt};
 use pool::Pool;
 use serde::Deserialize;
@@ -36,6 +34,9 @@
 const TELL_EVERY: Duration = Duration::from_secs(10);
 /// After a failed accept, the listener rests this long.
 const ACCEPT_REST: Duration = Duration::from_millis(10);
+/// How often room is looked for before a client is turned away: no longer than one that has just come may
+/// take to ask.
+const SEAT_TRIES: u32 = 8;
 /// Bytes read at a time.
 const READ_AT_ONCE: usize = 16 * 1024;
 
@@ -57,6 +58,10 @@
     exchanges: RefCell<BTreeMap<ExchangeId, Task<()>>>,
     pool: Pool,
     budget: Budget,
+    /// The clients' part of the budget.
+    seats: Budget,
+    /// From so many clients on, quiet ones make room for newcomers.
+    crowd: usize,
     doors: Budget,
     large: Budget,
     scratch: RefCell<Vec<u8>>,
@@ -69,8 +74,10 @@
     settled: Signal,
     listed: Signal,
     closing: Cell<bool>,
+    /// Clients turned away, and clients told to go, since the log told of them.
+    turned_away: Cell<u32>,
+    dismissed: Cell<u32>,
     connect_timeout: Duration,
-    client_idle: Duration,
 }
 
 impl Hub {
@@ -79,7 +86,6 @@
         let clock = Clock::anchored();
         let connect_timeout = Duration::from_nanos(config.site.connect_timeout.0);
         let idle = Duration::from_nanos(config.site.conn_idle.times(IDLE_SHARE).0);
-        let client_idle = Duration::from_nanos(config.site.conn_idle.times(CLIENT_IDLE_SHARE).0);
         let mut effects = Vec::new();
         let router = Router::new(clock.now(), config.site.clone(), config.seed, known, &mut effects);
         let hub = Rc::new(Hub {
@@ -89,7 +95,9 @@
             clients: RefCell::default(),
             exchanges: RefCell::default(),
             pool: Pool::new(idle),
-            budget: Budget::new(config.limits.sockets.saturating_sub(SOCKETS_RESERVED)),
+            budget: Budget::new(config.limits.descriptors()),
+            seats: Budget::new(config.limits.client_descriptors()),
+            crowd: config.limits.quiet_clients(),
             doors: Budget::new(SOCKETS_RESERVED / 3),
             large: Budget::new(config.limits.large_statements()),
             scratch: RefCell::new(vec![0; READ_AT_ONCE]),
@@ -101,8 +109,9 @@
             settled: Signal::default(),
             listed: Signal::default(),
             closing: Cell::new(false),
+            turned_away: Cell::new(0),
+            dismissed: Cell::new(0),
             connect_timeout,
-            client_idle,
         });
         hub.carry_out(effects);
         hub
@@ -183,7 +192,7 @@
     }
 
     /// A descriptor from the budget. When it is spent, the connection to a host that has idled longest makes
-    /// room, or else the client that has.
+    /// room, or else a client.
     async fn permit(&self) -> Option<Permit> {
         if let Some(permit) = self.budget.take() {
             return Some(permit);
@@ -192,13 +201,39 @@
         if let Some(permit) = self.budget.take() {
             return Some(permit);
         }
-        let idle = |slot: &&Rc<Slot>| slot.idle_for() >= self.client_idle;
-        if let Some(slot) = self.clients.borrow().values().filter(idle).max_by_key(|s| s.idle_for()) {
+        self.make_room().await;
+        self.budget.take()
+    }
+
+    /// Descriptors for a client, out of the clients' part. When there are many, one that has asked nothing
+    /// makes room, or the one that has been quiet for longest; one that has only just come is given a moment.
+    async fn seat(&self) -> Option<[Permit; 2]> {
+        if self.clients.borrow().len() >= self.crowd {
+            self.make_room().await;
+        }
+        for _ in 0..SEAT_TRIES {
+            if let Some(seat) = self.seats.take() {
+                return Some([self.permit().await?, seat]);
+            }
+            match self.make_room().await {
+                Room::No => break,
+                Room::Soon => drop(Timer::after(LOOK_AGAIN).await),
+                Room::Idle(_) | Room::Unasked(_) => {}
+            }
+        }
+        None
+    }
+
+    /// Ends the connection of the client that makes room most readily, if one does.
+    async fn make_room(&self) -> Room {
+        let found = self.clients.borrow().values().map(|s| (s.room(), Rc::clone(s))).max_by_key(|f| f.0);
+        let Some((room, slot)) = found else { return Room::No };
+        if matches!(room, Room::Idle(_) | Room::Unasked(_)) {
             slot.end();
+            // Its task is awake by now and ends before this one goes on.
+            future::yield_now().await;
         }
-        // Its task is awake by now and ends before this one goes on.
-        future::yield_now().await;
-        self.budget.take()
+        room
     }
 }
 
@@ -293,15 +328,17 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 count += 1;
-                let task = match hub.permit().await {
-                    Some(permit) => hub.spawn(client::run(Rc::clone(&hub), ClientId(count), stream, permit)),
-                    None => {
-                        // Few are turned away at a time, or they would hold more descriptors than there are.
-                        let door = hub.doors.wait().await;
-                        hub.spawn(client::turn_away(Rc::clone(&hub), stream, door))
+                let task = match hub.seat().await {
+                    Some(permits) => {
+                        hub.spawn(client::run(Rc::clone(&hub), ClientId(count), stream, permits))
                     }
+                    // A few are turned away gently at a time, or they would hold more descriptors than there
+                    // are; accepting never waits for them.
+                    None => hub.spawn(client::turn_away(Rc::clone(&hub), stream, hub.doors.take())),
                 };
                 task.into_iter().for_each(Task::detach);
+                // Many may come at once: others get their turn in between.
+                future::yield_now().await;
             }
             Err(e) => {
                 log::warn!("accept: {e}");
@@ -340,6 +377,10 @@
     loop {
         Timer::after(TIDY_EVERY).await;
         hub.pool.tidy();
+        let (away, dismissed) = (hub.turned_away.take(), hub.dismissed.take());
+        if away + dismissed > 0 {
+            log::warn!("clients: {away} turned away for want of descriptors, {dismissed} told to go");
+        }
         if told.elapsed() >= TELL_EVERY {
             told = Instant::now();
             let tally = hub.router.borrow_mut().tally();
