Lost and spoilt answers: no load at the member, known by head or by a pause

Checked with probes (taken out again): of 471 connections given up 161 held a part of an answer, 310 nothing, in proportion to what each member was sent. At fault: policy.rs outcome/judge (a lost answer stood in in_flight until its time-out, which then counted as an answer that took that long), host.rs take (a head was judged only by its length's limit, a cut answer waited out its time-out), tell (a rank or position that can't be read spoilt the answer), routing (what can't be read was a reset: doubt, and a primary without writes). Change: overdue attempts at members that go on answering are no load; heads judged before bodies; a begun answer that pauses for 100 ms is spoilt, its row served if whole; spoilt is an error; reports dropped alone; a connection rests 2 ms after an answer, so that what comes right behind it is seen. Harm: a member with several heavy requests gets somewhat more.

--- a/crates/config/src/router.rs
+++ b/crates/config/src/router.rs
@@ -100,6 +100,13 @@
 /// request meets the member's closing.
 pub const IDLE_SHARE: f64 = 0.8;
 
+/// A member that has begun an answer writes the rest of it without pausing for this long, or it never will.
+pub const ANSWER_PAUSE: Time = Time::ms(100);
+
+/// After an answer, a connection to a member rests for this long before it carries the next query: what the
+/// member sends right behind an answer shows itself by then, and is never taken for the next one.
+pub const ANSWER_REST: Time = Time::ms(2);
+
 /// Where descriptors are short, a client with no open request makes room after this time: one that has just
 /// connected, or has just had its answer, may be about to ask.
 pub const CLIENT_QUIET: Time = Time::ms(20);
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -100,12 +100,8 @@
     fn restarted(&mut self, started: Option<Time>, now: Time) {
         (self.started, self.credit) = (started, (-self.dither, now));
     }
-    fn failed(&mut self, now: Time) {
-        self.doubt = true;
-        self.missed(now);
-    }
-    fn missed(&mut self, now: Time) {
-        self.failures += 1;
+    fn missed(&mut self, now: Time, doubt: bool) {
+        (self.failures, self.doubt) = (self.failures + 1, self.doubt || doubt);
         let open = matches!(self.breaker, Breaker::Open(Why::Transport, _));
         if (self.failures >= FAILURES && !open) || self.breaker == Breaker::HalfOpen(Why::Transport) {
             self.breaker = Breaker::Open(Why::Transport, now.plus(COOLDOWN));
@@ -129,6 +125,7 @@
     member: MemberId,
     sent: Time,
     status: Option<Status>,
+    lost: bool, // overdue, though its member goes on answering: it counts no longer as in flight
 }
 
 struct Job {
@@ -420,7 +417,7 @@
                     out.push(Action::Cancel(id, Attempt(n as u16)));
                 }
                 if let Some(m) = self.members.get_mut(&t.member) {
-                    m.in_flight = m.in_flight.saturating_sub(1);
+                    m.in_flight = m.in_flight.saturating_sub(u32::from(!t.lost));
                 }
             }
         }
@@ -611,7 +608,7 @@
         let (Some(job), Some(m)) = (self.jobs.get_mut(&id), self.members.get_mut(&member)) else { return };
         self.held.remove(&(group, id));
         let limit = job.req.give_up.since(now.plus(self.set.tick)).max(self.set.tick);
-        job.tries.push(Try { member, sent: now, status: None });
+        job.tries.push(Try { member, sent: now, status: None, lost: false });
         (m.in_flight, m.credit) = (m.in_flight + 1, (credit - base, now));
         out.push(Action::Send(id, member, Some(limit)));
     }
@@ -627,7 +624,7 @@
                 t.status = Some(o.status);
                 class = Some(job.c);
                 if let Some(m) = self.members.get_mut(&o.member) {
-                    m.in_flight = m.in_flight.saturating_sub(1);
+                    m.in_flight = m.in_flight.saturating_sub(u32::from(!t.lost));
                 }
                 let write = self.set.classes[job.c].consistency == Consistency::Write;
                 let wrote = o.standing.position.filter(|_| write && o.status == Status::Ok);
@@ -669,8 +666,8 @@
                 m.heard(now, Why::Silent);
                 m.answered = now;
             }
-            Status::ConnectFailed | Status::Reset => m.failed(now),
-            Status::Timeout if m.answered < sent => m.missed(now),
+            Status::ConnectFailed | Status::Reset => m.missed(now, true),
+            Status::Timeout if m.answered < sent => m.missed(now, false),
             _ => {}
         }
         if matches!(o.status, Status::Ok | Status::Error | Status::ConnectFailed | Status::Reset) {
@@ -685,13 +682,14 @@
             (Status::Miss, _) if write && m.role.is_none_or(|(_, at)| at < now) => {
                 m.role = Some((Role::Replica, now));
             }
+            (Status::Timeout, _) if m.answered >= sent => {} // lost: it says nothing of the member's load
             (Status::Ok | Status::Timeout, Some(c)) if self.stood == Time(0) => {
-                let (took, aim) = (o.took.secs(), self.set.classes[c].aim.secs());
+                let (took, aim, leads) = (o.took.secs(), self.set.classes[c].aim.secs(), m.leads());
+                let off = took - self.base[c];
                 let shortest = self.base.iter().copied().fold(f64::MAX, f64::min);
                 let gain = WAIT_GAIN * (2.0 * shortest / self.base[c]).clamp(0.4, 1.0);
-                m.wait = (wait + gain * (took - self.base[c] - wait), now);
-                let (all, leads) = (&mut self.waits, m.leads());
-                all[leads] = (waits[leads] + gain * (took - self.base[c] - waits[leads]), now);
+                m.wait = (wait + gain * (off - wait), now);
+                self.waits[leads] = (waits[leads] + gain * (off - waits[leads]), now);
                 let late = took > CAP_LATE * aim;
                 if late && sent > m.cut {
                     (m.cap, m.cut) = ((m.cap * CAP_CUT).max(1.0), now);
@@ -699,7 +697,6 @@
                     m.cap += (1.0 / m.cap).min(0.3 * m.cap);
                 }
                 self.served = (served + if o.status == Status::Ok { self.base[c] } else { 0.0 }, now);
-                let off = took - self.base[c];
                 self.base[c] += off * if off < 0.0 { BASE_DOWN } else { BASE_UP };
             }
             _ => {}
@@ -720,7 +717,7 @@
             self.learn(id, Standing { role: None, ..report }, aged(1.0));
         } else {
             m.lost = now;
-            m.failed(now);
+            m.missed(now, true);
         }
         self.pump(group, out);
     }
@@ -778,9 +775,8 @@
 
     /// With no primary known, one held write at a time tries the members in turn: a miss is proved unrun.
     fn scout(&mut self, group: GroupId, out: &mut Vec<Action>) {
-        let behind =
-            |b| matches!(b, Breaker::Closed | Breaker::Open(Why::Lag, _) | Breaker::HalfOpen(Why::Lag));
-        let usable = |p: &Member| !p.doubt && behind(p.breaker) && p.draining.is_none();
+        let up = |b| matches!(b, Breaker::Closed | Breaker::Open(Why::Lag, _) | Breaker::HalfOpen(Why::Lag));
+        let usable = |p: &Member| !p.doubt && up(p.breaker) && p.draining.is_none();
         let known = self.primary(group).and_then(|id| self.members.get(&id)).is_some_and(usable);
         if known || self.in_group(group).any(|(_, m)| self.now.since(m.scouted) < SCOUT_EVERY) {
             return;
@@ -797,15 +793,19 @@
         self.send(id, member, out);
     }
 
-    /// A member that has answered nothing since an attempt that is out for too long is rested.
+    /// What is out for too long: a member that has answered nothing since is rested. One that goes on has
+    /// most likely lost that answer and works on it no more. Harm: one with many heavy requests gets more.
     fn overdue(&mut self) {
         let now = self.now;
-        for job in self.jobs.values() {
-            let Some(t) = job.tries.iter().rev().find(|t| t.status.is_none()) else { continue };
-            let Some(m) = self.members.get_mut(&t.member) else { continue };
-            let age = now.since(t.sent);
-            let long = age > SILENT_LEAST && age.secs() > SILENT_TIMES * self.base[job.c];
-            if m.answered < t.sent && long && !matches!(m.breaker, Breaker::Open(..)) {
+        for job in self.jobs.values_mut() {
+            let Some(t) = job.tries.iter_mut().rev().find(|t| t.status.is_none()) else { continue };
+            let (age, Some(m)) = (now.since(t.sent), self.members.get_mut(&t.member)) else { continue };
+            if age <= SILENT_LEAST || age.secs() <= SILENT_TIMES * self.base[job.c] {
+                continue;
+            }
+            if m.answered >= t.sent {
+                (t.lost, m.in_flight) = (true, m.in_flight.saturating_sub(u32::from(!t.lost)));
+            } else if !matches!(m.breaker, Breaker::Open(..)) {
                 m.breaker = Breaker::Open(Why::Silent, now.plus(COOLDOWN));
             }
         }
--- a/crates/policy/tests/failures.rs
+++ b/crates/policy/tests/failures.rs
@@ -129,6 +129,57 @@
     assert!(sent_between(&b, from, mute) * 8 < sent, "probes may be answered, requests are not");
 }
 
+#[test]
+fn answers_lost_at_a_member_that_goes_on_are_no_load() {
+    let mut b = Bench::new(settings());
+    let (mut lost, mut others): (Vec<(Time, RequestId)>, Vec<RequestId>) = Default::default();
+    for n in 0..600 {
+        b.run(10);
+        b.teach([10, 10]);
+        let id = b.ask(BOUNDED, 0);
+        match n % 8 {
+            0 if b.out(id) => lost.push((b.now, id)),
+            _ if b.out(id) => {
+                others.push(id);
+                b.end(id, Status::Ok, 20, 10, Role::Replica);
+            }
+            _ => others.push(id),
+        }
+        if lost.first().is_some_and(|(at, _)| b.now.since(*at) >= Time::ms(1490)) {
+            let (_, id) = lost.remove(0);
+            b.end(id, Status::Timeout, 1490, 0, Role::Replica);
+        }
+    }
+    // All others take 20 ms: whatever never comes takes nobody's place, and nobody is turned away for it.
+    let refused = others.iter().filter(|id| b.refused(**id)).count();
+    let elsewhere = others.iter().filter(|id| b.went(**id) == Some(1)).count();
+    assert!(refused + elsewhere < 5, "{refused} refused, {elsewhere} at the primary");
+}
+
+#[test]
+fn a_lost_answer_counts_no_longer_as_in_flight() {
+    let mut b = Bench::new(settings());
+    b.teach([10, 10]);
+    for _ in 0..12 {
+        let id = b.ask(BOUNDED, 0);
+        if b.went(id) == Some(3) {
+            b.end(id, Status::Ok, 20, 10, Role::Replica);
+        }
+    }
+    // Member 2 answers others, and never what it was sent first.
+    b.run(300);
+    b.teach([10, 10]);
+    b.run(400);
+    let from = b.now;
+    for _ in 0..40 {
+        b.run(10);
+        b.teach([10, 10]);
+        let id = b.ask(BOUNDED, 0);
+        b.end(id, Status::Ok, 20, 10, Role::Replica);
+    }
+    assert!(sent_between(&b, from, 2) > 10, "{}", sent_between(&b, from, 2));
+}
+
 #[test]
 fn three_failures_running_eject_and_one_probe_readmits() {
     let mut set = settings();
--- a/crates/router/src/protocol/host.rs
+++ b/crates/router/src/protocol/host.rs
@@ -7,6 +7,11 @@
 /// Most bytes that one answer may have in all.
 const LONGEST_ANSWER: usize = 128 * 1024;
 
+/// Longest messages other than rows.
+const LONGEST_DESCRIPTION: usize = 1024;
+const LONGEST_TAG: usize = 64;
+const LONGEST_WORDS: usize = 8 * 1024;
+
 /// Positions from here on, in milliseconds of Unix time, are out of range: nanoseconds would not hold them.
 const LATEST_MS: u64 = 1 << 44;
 
@@ -101,22 +106,78 @@
         self.telling = Telling::default();
     }
 
-    /// The connection has ended: how the query did, if an error had come that ends connections.
+    /// Whether an answer has begun and its end has not come.
+    pub fn begun(&self) -> bool {
+        match &self.stage {
+            Stage::Busy(p) => !p.parts.is_empty() || p.error.is_some() || !self.inbox.is_empty(),
+            _ => false,
+        }
+    }
+
+    /// The connection has ended: how the query did, if its row is whole or an error had come that ends
+    /// connections.
     pub fn closed(&mut self) -> Option<(Ending, Telling)> {
-        let Stage::Busy(progress) = std::mem::take(&mut self.stage) else { return None };
-        progress.error.map(|code| (Ending::Error(code), std::mem::take(&mut self.telling)))
+        match std::mem::take(&mut self.stage) {
+            Stage::Busy(Progress { error: Some(code), .. }) => {
+                Some((Ending::Error(code), std::mem::take(&mut self.telling)))
+            }
+            Stage::Busy(p) => p.row().map(|row| (Ending::Row(row), Telling::default())),
+            _ => None,
+        }
+    }
+
+    /// What follows can't be read, or never comes: the row, if it is whole. What the host has told of itself
+    /// is not believed.
+    pub fn spoilt(&mut self) -> Option<Row> {
+        match std::mem::take(&mut self.stage) {
+            Stage::Busy(p) => p.row(),
+            _ => None,
+        }
     }
 
     /// The next thing the host has said, if it has come whole.
     pub fn take(&mut self) -> Result<Option<HostMessage>, ProtocolError> {
-        while let Some((kind, len)) = self.inbox.message(LONGEST)? {
+        loop {
+            self.fits()?;
+            let Some((kind, len)) = self.inbox.message(LONGEST)? else { return Ok(None) };
             let out = self.message(kind, len)?;
             self.inbox.used(5 + len);
             if out.is_some() {
                 return Ok(out);
             }
         }
-        Ok(None)
+    }
+
+    /// Judges the next message by its head, before its body has come: one that can't be right would be waited
+    /// for in vain.
+    fn fits(&self) -> Result<(), ProtocolError> {
+        let Some(head) = self.inbox.rest().first_chunk::<5>() else {
+            return match self.inbox.rest().first().is_none_or(|kind| b"SNARKvEZITDC".contains(kind)) {
+                true => Ok(()),
+                false => Err(ProtocolError("a message of an unknown type".into())),
+            };
+        };
+        let len = (u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize).saturating_sub(4);
+        let right = match head[0] {
+            b'D' => match self.inbox.rest().get(5..11) {
+                Some(&[0, 1, a, b, c, d]) => match i32::from_be_bytes([a, b, c, d]) {
+                    -1 => len == 6,
+                    size => usize::try_from(size).is_ok_and(|size| len == size.saturating_add(6)),
+                },
+                Some(_) => false,
+                None => (6..=LONGEST).contains(&len),
+            },
+            b'Z' => len == 1,
+            b'I' => len == 0,
+            b'T' => len <= LONGEST_DESCRIPTION,
+            b'C' => len <= LONGEST_TAG,
+            b'S' | b'N' | b'A' | b'R' | b'K' | b'v' | b'E' => len <= LONGEST_WORDS,
+            _ => false,
+        };
+        match right {
+            true => Ok(()),
+            false => Err(ProtocolError(format!("a message {:?} of {len} bytes", char::from(head[0])))),
+        }
     }
 
     fn message(&mut self, kind: u8, len: usize) -> Result<Option<HostMessage>, ProtocolError> {
@@ -124,10 +185,10 @@
         let wrong = |what: &str| Err(ProtocolError(format!("{what} (message {:?})", char::from(kind))));
         match (kind, &mut self.stage) {
             (b'S', _) => {
-                let Some((name, (value, _))) = text(body).and_then(|(n, rest)| Some((n, text(rest)?))) else {
-                    return wrong("a parameter without a value");
-                };
-                tell(&mut self.telling, name, value)?;
+                // One that can't be read tells nothing; the answer is no worse for it.
+                if let Some((name, (value, _))) = text(body).and_then(|(n, rest)| Some((n, text(rest)?))) {
+                    tell(&mut self.telling, name, value);
+                }
             }
             (b'N' | b'A', _) => {}
             (b'R', Stage::Starting) if body == [0; 4] => {}
@@ -145,10 +206,7 @@
                 let Stage::Busy(p) = std::mem::replace(stage, Stage::Idle) else { return Ok(None) };
                 let ending = match p.error {
                     Some(code) => Ending::Error(code),
-                    None if p.rows == 1 && p.parts.len() == 3 => {
-                        Ending::Row(Row { bytes: p.bytes, parts: p.parts, value: p.value, binary: p.binary })
-                    }
-                    None => Ending::Nothing,
+                    None => p.row().map_or(Ending::Nothing, Ending::Row),
                 };
                 return Ok(Some(HostMessage::Done(ending, std::mem::take(&mut self.telling))));
             }
@@ -157,7 +215,7 @@
                 p.error = Some(code.unwrap_or_default());
             }
             (b'I', Stage::Busy(_)) => {}
-            (b'T', Stage::Busy(p)) if p.parts.is_empty() && body.starts_with(&[0, 1]) => {
+            (b'T', Stage::Busy(p)) if p.parts.is_empty() && describes(body) => {
                 p.binary = body.ends_with(&[0, 1]);
                 keep(p, whole)?;
             }
@@ -173,7 +231,7 @@
                 keep(p, whole)?;
                 p.value = (size >= 0).then(|| p.bytes.len() - size as usize..p.bytes.len());
             }
-            (b'C', Stage::Busy(p)) if p.parts.len() < 3 && !p.complete => {
+            (b'C', Stage::Busy(p)) if p.parts.len() < 3 && !p.complete && body.ends_with(&[0]) => {
                 p.complete = true;
                 keep(p, whole)?;
             }
@@ -183,6 +241,20 @@
     }
 }
 
+impl Progress {
+    /// The row, if one has come whole with all that belongs to it.
+    fn row(self) -> Option<Row> {
+        let whole = self.rows == 1 && self.parts.len() == 3 && self.complete && self.error.is_none();
+        whole.then_some(Row { bytes: self.bytes, parts: self.parts, value: self.value, binary: self.binary })
+    }
+}
+
+/// Whether this is the body of a description of one column.
+fn describes(body: &[u8]) -> bool {
+    let column = body.strip_prefix(&[0, 1]).and_then(text);
+    column.is_some_and(|(_, rest)| rest.len() == 18)
+}
+
 fn keep(p: &mut Progress, whole: &[u8]) -> Result<(), ProtocolError> {
     let start = p.bytes.len();
     if start + whole.len() > LONGEST_ANSWER {
@@ -193,21 +265,16 @@
     Ok(())
 }
 
-fn tell(telling: &mut Telling, name: &[u8], value: &[u8]) -> Result<(), ProtocolError> {
+/// Takes a note of what a host tells of itself; a word that can't be read says nothing.
+fn tell(telling: &mut Telling, name: &[u8], value: &[u8]) {
     let word = std::str::from_utf8(value).unwrap_or_default().trim();
     match (name, word) {
         (b"rank", "source") => telling.primary = Some(true),
         (b"rank", "copy") => telling.primary = Some(false),
-        (b"rank", _) => return Err(ProtocolError(format!("a rank of {word:.20?}"))),
-        (b"as_of", _) => {
-            let position = word.parse().ok().filter(|p| *p < LATEST_MS);
-            telling.as_of =
-                Some(position.ok_or_else(|| ProtocolError(format!("a position of {word:.40?}")))?);
-        }
+        (b"as_of", _) => telling.as_of = word.parse().ok().filter(|p| *p < LATEST_MS),
         (b"vitals", _) => telling.vitals = Some(word.to_string()),
         _ => {}
     }
-    Ok(())
 }
 
 /// The startup message to a host.
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -45,8 +45,10 @@
     NotSent,
     /// It was not written, as a drain's grace had passed: neither the host's fault nor a failed connection.
     Withheld,
-    /// The connection broke, or made no sense, after that.
+    /// The connection broke after that.
     Broken,
+    /// The host answered, but not so that it could be read.
+    Spoilt,
 }
 
 /// What comes in.
@@ -371,6 +373,8 @@
                     Ended::Unwelcome(_) | Ended::NotSent => (Status::ConnectFailed, Telling::default()),
                     Ended::Withheld => (Status::Moot, Telling::default()),
                     Ended::Broken => (Status::Reset, Telling::default()),
+                    // It may have run, like an error; the member is there, and answers.
+                    Ended::Spoilt => (Status::Error, Telling::default()),
                 };
                 self.outcome(now, id, attempt, x, status, telling);
             }
@@ -389,6 +393,7 @@
                     Ended::Unwelcome(_) | Ended::NotSent => (Status::ConnectFailed, Standing::default()),
                     Ended::Withheld => (Status::Moot, Standing::default()),
                     Ended::Broken => (Status::Reset, Standing::default()),
+                    Ended::Spoilt => (Status::Error, Standing::default()),
                 };
                 self.probed(now, x, status, report);
             }
--- a/crates/router/src/transport/exchange.rs
+++ b/crates/router/src/transport/exchange.rs
@@ -1,25 +1,30 @@
 //! One query at one host: on a pooled connection, or on a new one. Nothing is sent twice.
 
 use super::budget::LOOK_AGAIN;
-use super::pool::HostConnection;
+use super::pool::{HostConnection, Taken};
 use super::{io, Hub};
-use crate::protocol::host::{self, HostMessage, HostSide};
+use crate::protocol::host::{self, Ending, HostMessage, HostSide, Telling};
 use crate::routing::{Ended, Order, Query};
 use async_io::{Async, Timer};
+use basalthill_config::router::ANSWER_PAUSE;
 use futures_lite::future;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Runs a query to its end. Dropped before that, it closes its connection: an answer that comes late must not
 /// meet the next request.
 pub async fn run(hub: &Rc<Hub>, order: Order) -> Ended {
     let Order { member, addr, query, .. } = order;
-    let mut connection = match hub.pool.take(addr) {
-        Some(connection) => connection,
-        None => match connect(hub, addr).await {
-            Ok(connection) => connection,
-            Err(ended) => return ended,
-        },
+    let mut connection = loop {
+        match hub.pool.take(addr) {
+            Taken::Ready(connection) => break connection,
+            Taken::Resting(left) => drop(Timer::after(left).await),
+            Taken::Nothing => match connect(hub, addr).await {
+                Ok(connection) => break connection,
+                Err(ended) => return ended,
+            },
+        }
     };
     // The connection may have come up after a drain's grace, or its host's parting may have been told
     // meanwhile.
@@ -32,15 +37,11 @@
         log::debug!("{addr}: broke before the last byte: {e}");
         return Ended::NotSent;
     }
-    match answer(hub, addr, &mut connection).await {
-        Some(ended) => {
-            if connection.side.idle() && !hub.closing.get() {
-                hub.pool.put(addr, connection);
-            }
-            ended
-        }
-        None => Ended::Broken,
+    let ended = answer(hub, addr, &mut connection).await;
+    if connection.side.idle() && !hub.closing.get() {
+        hub.pool.put(addr, connection);
     }
+    ended
 }
 
 async fn connect(hub: &Rc<Hub>, addr: SocketAddr) -> Result<HostConnection, Ended> {
@@ -52,7 +53,7 @@
                 Some(permit) => break permit,
                 None => drop(Timer::after(LOOK_AGAIN).await),
             }
-            if let Some(connection) = hub.pool.take(addr) {
+            if let Taken::Ready(connection) = hub.pool.take(addr) {
                 return Ok(connection);
             }
         };
@@ -98,23 +99,43 @@
     }
 }
 
-/// The host's answer; none if the connection ends or makes no sense before.
-async fn answer(hub: &Rc<Hub>, addr: SocketAddr, connection: &mut HostConnection) -> Option<Ended> {
+/// The host's answer, or how it came to nothing. One that has begun and does not go on is not waited for: its
+/// host has written all that it ever will.
+async fn answer(hub: &Rc<Hub>, addr: SocketAddr, connection: &mut HostConnection) -> Ended {
     let HostConnection { stream, side, .. } = connection;
+    let salvaged = |side: &mut HostSide| match side.spoilt() {
+        Some(row) => Ended::Answered(Ending::Row(row), Telling::default()),
+        None => Ended::Spoilt,
+    };
     loop {
         match side.take() {
-            Ok(Some(HostMessage::Done(ending, telling))) => return Some(Ended::Answered(ending, telling)),
-            Ok(Some(_)) => return None,
+            Ok(Some(HostMessage::Done(ending, telling))) => return Ended::Answered(ending, telling),
+            Ok(Some(_)) => return Ended::Spoilt,
             Ok(None) => {}
             Err(e) => {
-                log::warn!("{addr}: {e}");
-                return None;
+                log::debug!("{addr}: {e}");
+                return salvaged(side);
             }
         }
-        if !matches!(io::read(hub, stream, |bytes| side.feed(bytes)).await, Ok(1..)) {
+        let begun = side.begun();
+        let pause = async {
+            match begun {
+                true => drop(Timer::after(Duration::from_nanos(ANSWER_PAUSE.0)).await),
+                false => future::pending().await,
+            }
+            None
+        };
+        let read = async { Some(io::read(hub, stream, |bytes| side.feed(bytes)).await) };
+        match future::or(read, pause).await {
+            Some(Ok(1..)) => {}
             // An error that ends the connection comes without ReadyForQuery.
-            let (ending, telling) = side.closed()?;
-            return Some(Ended::Answered(ending, telling));
+            Some(_) => {
+                return side.closed().map_or(Ended::Broken, |(e, telling)| Ended::Answered(e, telling))
+            }
+            None => {
+                log::debug!("{addr}: an answer that has begun does not go on");
+                return salvaged(side);
+            }
         }
     }
 }
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -13,7 +13,9 @@
 use crate::routing::{Answer, ClientId, Clock, Effect, Ended, ExchangeId, Input, Order, Router, Tally};
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
-use basalthill_config::router::{stop_limit, RouterConfig, IDLE_SHARE, SOCKETS_RESERVED, STOP_SERVING};
+use basalthill_config::router::{
+    stop_limit, RouterConfig, ANSWER_REST, IDLE_SHARE, SOCKETS_RESERVED, STOP_SERVING,
+};
 use basalthill_policy::api::Time;
 use budget::{Budget, Permit, LOOK_AGAIN};
 use client::{Room, Slot};
@@ -94,7 +96,7 @@
             executor: RefCell::new(Some(Rc::clone(executor))),
             clients: RefCell::default(),
             exchanges: RefCell::default(),
-            pool: Pool::new(idle),
+            pool: Pool::new(Duration::from_nanos(ANSWER_REST.0), idle),
             budget: Budget::new(config.limits.descriptors()),
             seats: Budget::new(config.limits.client_descriptors()),
             crowd: config.limits.quiet_clients(),
--- a/crates/router/src/transport/watch.rs
+++ b/crates/router/src/transport/watch.rs
@@ -10,9 +10,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// An empty line comes every two seconds; after two of them missing the watch is opened anew. What discovery
-/// has to tell counts as told six seconds later at the latest: a watch that has died must be noticed before.
-const SILENCE: Duration = Duration::from_secs(5);
+/// An empty line comes every two seconds: a watch that brings nothing for longer has died, and is opened anew
+/// at next to no cost. Members that come and go unnoticed meanwhile cost requests.
+const SILENCE: Duration = Duration::from_millis(2500);
 const REST_FIRST: Duration = Duration::from_millis(50);
 const REST_MOST: Duration = Duration::from_secs(1);
 
--- a/crates/router/tests/codec.rs
+++ b/crates/router/tests/codec.rs
@@ -147,7 +147,7 @@
     let two_rows = [&good[..], &good[..]].concat();
     let (described, rest) = good.split_at(good.len() - message(b'D', &[0, 1, 0, 0, 0, 1, b'x']).len() - 14);
     let (value, complete) = rest.split_at(rest.len() - 14);
-    let cases: [(&str, Vec<u8>); 9] = [
+    let cases: [(&str, Vec<u8>); 11] = [
         ("a row after its completion", [described, complete, value].concat()),
         ("a row completed twice", [described, value, complete, complete].concat()),
         ("a row without its description", message(b'D', &[0, 1, 0, 0, 0, 1, b'x'])),
@@ -156,9 +156,11 @@
             "a value shorter than it says",
             [&good[..good.len() - 14 - 12], &message(b'D', &[0, 1, 0, 0, 0, 9, b'x'])].concat(),
         ),
-        ("a position out of range", parameter("as_of", "99999999999999999")),
-        ("a position that is no number", parameter("as_of", "soon")),
-        ("an unknown rank", parameter("rank", "king")),
+        ("a description that is none", message(b'T', &[0, 1, 9, 9])),
+        ("a completion that does not end", [described, value, &message(b'C', b"SELECT")].concat()),
+        ("noise behind the row", [described, value, b"\x01\x02\x03"].concat()),
+        ("a line without an end", vec![b'7'; 200]),
+        ("a description of 2 KB", [&b"T\0\0\x08\0\0\x01"[..], &[0; 2042]].concat()),
         ("an over-long message", vec![b'D', 0x7f, 0xff, 0xff, 0xff]),
     ];
     for (what, bytes) in cases {
@@ -173,6 +175,71 @@
     assert!(matches!(messages[1], HostMessage::Done(Ending::Nothing, _)), "{messages:?}");
 }
 
+/// A connection whose query has been written.
+fn asked() -> HostSide {
+    let mut side = HostSide::default();
+    side.feed(&[message(b'R', &[0; 4]), message(b'Z', b"I")].concat());
+    assert_eq!(side.take(), Ok(Some(HostMessage::Ready)));
+    side.begin();
+    side
+}
+
+#[test]
+fn what_can_not_be_right_is_known_by_its_head() {
+    // Heads alone: what they announce would be waited for in vain, or fill the memory.
+    let described = &row(b"x")[..27];
+    let heads: [(&str, &[u8]); 7] = [
+        ("an unknown type", b"\x16"),
+        ("a value of 3 GB", b"D\xb2\xd0\x5e\x06\0\x01"),
+        ("a negative length", b"D\xff\xff\xff\xff"),
+        ("a value longer than its row", b"D\0\0\0\x0b\0\x01\0\0\x07\xd0"),
+        ("a value of 3 GB in a short row", b"D\0\0\0\x0b\0\x01\xb2\xd0\x5e\0"),
+        ("an end of another length", b"Z\0\0\0\x09"),
+        ("a long completion", b"C\0\0\x10\0"),
+    ];
+    for (what, head) in heads {
+        let mut side = asked();
+        side.feed(&[described, head].concat());
+        assert!(side.take().is_err(), "{what}");
+        assert_eq!(side.spoilt(), None, "{what}");
+    }
+}
+
+#[test]
+fn what_a_host_tells_of_itself_and_can_not_be_read_is_dropped_alone() {
+    let odd: [Vec<u8>; 6] = [
+        parameter("as_of", "99999999999999999"),
+        parameter("as_of", "soon"),
+        parameter("rank", "king"),
+        message(b'S', b"rank\0source"),
+        message(b'S', b"vitals\0\xff\xfe=\0"),
+        message(b'S', b""),
+    ];
+    for odd in odd {
+        let mut side = asked();
+        side.feed(&[row(b"x"), odd.clone(), message(b'Z', b"I")].concat());
+        let done = side.take().unwrap();
+        let Some(HostMessage::Done(Ending::Row(_), told)) = done else { panic!("{odd:?}: {done:?}") };
+        assert_eq!((told.primary, told.as_of), (None, None));
+        assert_eq!(report(told.vitals.as_deref().unwrap_or_default()).count(), 0);
+        assert!(side.idle(), "the connection is as good as before");
+    }
+}
+
+#[test]
+fn an_answer_cut_anywhere_has_begun_and_gives_its_row_only_when_that_is_whole() {
+    let tell = [parameter("rank", "source"), parameter("as_of", "1767225600123")].concat();
+    let (value, stream) = (row(b"x"), [row(b"x"), tell, message(b'Z', b"I")].concat());
+    for cut in 0..stream.len() {
+        let mut side = asked();
+        side.feed(&stream[..cut]);
+        assert_eq!(side.take(), Ok(None), "cut at {cut}");
+        assert_eq!(side.begun(), cut > 0, "cut at {cut}");
+        assert_eq!(side.spoilt().is_some(), cut >= value.len(), "cut at {cut}");
+        assert!(!side.idle());
+    }
+}
+
 #[test]
 fn an_error_that_ends_the_connection_needs_no_ready() {
     let mut side = HostSide::default();
--- a/crates/router/tests/routing.rs
+++ b/crates/router/tests/routing.rs
@@ -128,7 +128,9 @@
 
 #[test]
 fn a_write_that_may_have_run_fails_and_is_not_sent_again() {
-    for ended in [Ended::Broken, Ended::Answered(Ending::Error("XX000".into()), Telling::default())] {
+    for ended in
+        [Ended::Broken, Ended::Spoilt, Ended::Answered(Ending::Error("XX000".into()), Telling::default())]
+    {
         let mut d = Driven::new();
         let (id, ..) = d.attempt(1, "write");
         let mut effects = d.end(id, ended.clone());
@@ -189,6 +191,7 @@
         (Ended::NotSent, Status::ConnectFailed),
         (Ended::Withheld, Status::Moot),
         (Ended::Broken, Status::Reset),
+        (Ended::Spoilt, Status::Error),
     ];
     for (ended, status) in cases {
         let mut d = Driven::new();
--- a/crates/router/tests/transport.rs
+++ b/crates/router/tests/transport.rs
@@ -7,7 +7,7 @@
 use basalthill_router::transport::{self, Command};
 use basalthill_standin::client::{query, startup, Answer, Client};
 use basalthill_standin::discovery::{list, Discovery};
-use basalthill_standin::host::{Host, Reply, Telling};
+use basalthill_standin::host::{self, Host, Reply, Telling};
 use basalthill_standin::{unix_ms, Watched, PATIENCE};
 use common::{text, SETTINGS};
 use futures_lite::{stream, AsyncReadExt};
@@ -536,6 +536,32 @@
     assert_eq!(served.client().ask(&text("write", "")).unwrap(), row(b"x"), "the list is kept");
 }
 
+#[test]
+fn spoilt_answers_end_their_attempts_at_once_and_never_reach_a_client() {
+    let whole = host::row(b"x");
+    let spoilt = [
+        whole[..10].to_vec(),
+        whole[..40].to_vec(),
+        b"-ERR what can't be read, and has no end".to_vec(),
+        [&whole[..27], b"D\xb2\xd0\x5e\x06\0\x01\xb2\xd0\x5e\0", &[7; 100_000]].concat(),
+    ];
+    let count = spoilt.len();
+    let host = host(move |text| {
+        let spoilt = spoilt.iter().enumerate().find(|(n, _)| text.contains(&format!("id=bad{n}")));
+        spoilt.map_or(Reply::Row(b"x".to_vec()), |(_, bytes)| Reply::Raw(bytes.clone()))
+    });
+    let served = Served::of(&host);
+    let mut client = served.client();
+    for n in 0..count {
+        let began = Instant::now();
+        let bad = text("write", "").replace("id=9", &format!("id=bad{n}")).replace("d=480", "d=9000");
+        assert_eq!(code(&client.ask(&bad).unwrap()), "58000", "answer {n}");
+        assert!(began.elapsed() < Duration::from_secs(3), "answer {n}: {:?}", began.elapsed());
+        // The member is as good as before, and what was spoilt meets nobody.
+        assert_eq!(client.ask(&text("write", "")).unwrap(), row(b"x"), "after answer {n}");
+    }
+}
+
 #[test]
 fn a_new_discovery_is_followed_at_once_while_the_old_one_hangs() {
     let (one, two) = (host(|_| Reply::Row(b"one".to_vec())), host(|_| Reply::Row(b"two".to_vec())));
