Resets at members that go on answering eject nobody; ids of open requests are errors

Checked: the decisions' view of each member twice a second (a probe, taken out): replicas 3 to 7 s behind, waits near nothing, the primary of group 2 Open(Transport) for a second while it answered all else; 18 of 110 probes failed at members in service. At fault: policy.rs judge (each reset put its member in doubt and counted toward ejection) and probed (any failed probe did). Change: neither counts at a member that has answered within 250 ms; a dead one refuses the next connection, which counts as before. Harm: a member that resets much and answers some keeps its writes; its share of failures still weighs for reads. Also, by reading and by test: two open requests of one id could not be told apart at a host (routing request), and a host's 08P01, 22xxx, 42xxx for a client's statement counted as the host's error and was tried elsewhere; now both are errors to that client.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -666,6 +666,7 @@
                 m.heard(now, Why::Silent);
                 m.answered = now;
             }
+            Status::Reset if now.since(m.answered) < SILENT_LEAST => {} // it is there, but for one connection
             Status::ConnectFailed | Status::Reset => m.missed(now, true),
             Status::Timeout if m.answered < sent => m.missed(now, false),
             _ => {}
@@ -715,7 +716,7 @@
             let aged = |times| now.minus(REPORT_AGE.times(times));
             self.learn(id, Standing { position: None, ..report }, aged(2.0));
             self.learn(id, Standing { role: None, ..report }, aged(1.0));
-        } else {
+        } else if status != Status::Error && now.since(m.answered) >= SILENT_LEAST {
             m.lost = now;
             m.missed(now, true);
         }
@@ -800,12 +801,10 @@
         for job in self.jobs.values_mut() {
             let Some(t) = job.tries.iter_mut().rev().find(|t| t.status.is_none()) else { continue };
             let (age, Some(m)) = (now.since(t.sent), self.members.get_mut(&t.member)) else { continue };
-            if age <= SILENT_LEAST || age.secs() <= SILENT_TIMES * self.base[job.c] {
-                continue;
-            }
-            if m.answered >= t.sent {
+            let long = age > SILENT_LEAST && age.secs() > SILENT_TIMES * self.base[job.c];
+            if long && m.answered >= t.sent {
                 (t.lost, m.in_flight) = (true, m.in_flight.saturating_sub(u32::from(!t.lost)));
-            } else if !matches!(m.breaker, Breaker::Open(..)) {
+            } else if long && !matches!(m.breaker, Breaker::Open(..)) {
                 m.breaker = Breaker::Open(Why::Silent, now.plus(COOLDOWN));
             }
         }
--- a/crates/policy/tests/failures.rs
+++ b/crates/policy/tests/failures.rs
@@ -156,6 +156,29 @@
     assert!(refused + elsewhere < 5, "{refused} refused, {elsewhere} at the primary");
 }
 
+#[test]
+fn resets_at_a_member_that_goes_on_answering_stop_no_writes() {
+    let mut b = Bench::new(settings());
+    for n in 0..40 {
+        b.run(20);
+        let id = b.ask(UNSAFE, 0);
+        assert_eq!(b.went(id), Some(1), "write {n}");
+        match n % 4 {
+            0 => b.end(id, Status::Ok, 15, 0, Role::Primary),
+            _ => b.end(id, Status::Reset, 15, 0, Role::Primary),
+        }
+        // Nor do probes that come to nothing on the way.
+        b.event(Event::Probed(MemberId(1), Status::Reset, Time::ms(1), Standing::default()));
+        b.event(Event::Probed(MemberId(1), Status::Error, Time::ms(1), Standing::default()));
+    }
+    // One that answers nothing any more is left alone after the first.
+    b.run(300);
+    let id = b.ask(UNSAFE, 0);
+    b.end(id, Status::Reset, 15, 0, Role::Primary);
+    let id = b.ask(UNSAFE, 0);
+    assert_eq!(b.went(id), None);
+}
+
 #[test]
 fn a_lost_answer_counts_no_longer_as_in_flight() {
     let mut b = Bench::new(settings());
--- a/crates/router/src/protocol/statement.rs
+++ b/crates/router/src/protocol/statement.rs
@@ -45,6 +45,7 @@
     text: Vec<u8>,
     /// Which statement.
     pub verb: Verb,
+    id: Range<usize>,
     key: Range<usize>,
     class: Range<usize>,
     tenant: Range<usize>,
@@ -81,11 +82,11 @@
         };
         let comment = p.comment()?;
         let (mut class, mut tenant, mut patience, mut cluster, mut after) = (None, None, None, None, None);
-        let (mut id, mut repeat) = (false, false);
+        let (mut id, mut repeat) = (0..0, false);
         for (name, value) in (Pairs { text: &text, at: comment.start, end: comment.end }) {
             let word = &text[value.clone()];
             match &text[name] {
-                b"id" => id = !word.is_empty(),
+                b"id" => id = value,
                 b"c" => class = Some(value),
                 b"t" => tenant = Some(value),
                 b"d" => patience = Some((number(word, "d")?.min(LONGEST_MS), value)),
@@ -98,16 +99,20 @@
                 _ => {}
             }
         }
-        if !id {
+        if id.is_empty() {
             return Err(invalid("the comment holds no id"));
         }
         let class = class.ok_or_else(|| invalid("the comment holds no class (c)"))?;
         let tenant = tenant.unwrap_or(0..0);
         let (patience_ms, patience) = patience.ok_or_else(|| invalid("the comment holds no deadline (d)"))?;
         let cluster = cluster.ok_or_else(|| invalid("the comment holds no cluster"))?;
-        Ok(Statement { text, verb, key, class, tenant, patience, patience_ms, cluster, after, repeat })
+        Ok(Statement { text, verb, id, key, class, tenant, patience, patience_ms, cluster, after, repeat })
     }
 
+    /// The request's id; not empty.
+    pub fn id(&self) -> &[u8] {
+        &self.text[self.id.clone()]
+    }
     /// The quoted key.
     pub fn key(&self) -> &[u8] {
         &self.text[self.key.clone()]
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -16,7 +16,7 @@
 use basalthill_policy::api::*;
 use basalthill_policy::Policy;
 use members::Members;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use timers::{Timer, TimerKey, Timers};
@@ -142,6 +142,8 @@
     members: Members,
     open: BTreeMap<RequestId, Open>,
     by_client: BTreeMap<ClientId, RequestId>,
+    /// Ids, as clients gave them, of the requests in `open`.
+    ids: BTreeSet<Rc<[u8]>>,
     probes: BTreeMap<u64, Exchange>,
     timers: Timers,
     requests: u64,
@@ -162,6 +164,7 @@
             members,
             open: BTreeMap::new(),
             by_client: BTreeMap::new(),
+            ids: BTreeSet::new(),
             probes: BTreeMap::new(),
             timers: Timers::default(),
             requests: 0,
@@ -288,16 +291,20 @@
     fn request(&mut self, now: Time, client: ClientId, statement: Box<Statement>, out: &mut Vec<Effect>) {
         let named = |names: &[String], word: &[u8]| names.iter().position(|n| n.as_bytes() == word);
         let group = GroupId(statement.cluster);
-        let mut unknown = |what: &str| {
+        let mut invalid = |what: &str| {
             self.tally.invalid += 1;
-            let error = StatementError { code: "22023", message: format!("{what} is unknown") };
+            let error = StatementError { code: "22023", message: what.into() };
             Effect::Answer(client, Answer::Invalid(error))
         };
         let Some(class) = named(&self.site.classes, statement.class()) else {
-            return out.push(unknown("the class"));
+            return out.push(invalid("the class is unknown"));
         };
         if !self.members.has_group(group) {
-            return out.push(unknown("the cluster"));
+            return out.push(invalid("the cluster is unknown"));
+        }
+        // Two requests of one id could not be told apart at a host, and one would get the other's answer.
+        if self.ids.contains(statement.id()) {
+            return out.push(invalid("the id is that of an open request"));
         }
         // A tenant that the settings don't name is one without a share.
         let tenant = named(&self.site.tenants, statement.tenant()).unwrap_or(self.site.tenants.len());
@@ -316,6 +323,7 @@
             token: statement.after.map(|ms| now.since(unix_ms(ms))),
             repeat: statement.repeat,
         };
+        self.ids.insert(statement.id().into());
         let statement = Rc::from(statement);
         self.open.insert(id, Open { client, statement, give_up, answered: false, attempts: Vec::new() });
         self.by_client.insert(client, id);
@@ -367,6 +375,11 @@
                         self.answer(id, Answer::Served(row), out);
                         (Status::Ok, telling)
                     }
+                    Ended::Answered(Ending::Error(code), telling) if of_the_statement(&code) => {
+                        let error = StatementError { code: "22023", message: "a host can't use it".into() };
+                        self.answer(id, Answer::Invalid(error), out);
+                        (Status::Moot, telling)
+                    }
                     Ended::Answered(Ending::Error(code), telling) => (by_code(&code), telling),
                     Ended::Answered(Ending::Nothing, telling) => (Status::Error, telling),
                     Ended::Unwelcome(code) if code == "53300" => (Status::Full, Telling::default()),
@@ -444,6 +457,7 @@
         if let Some(open) = self.open.get_mut(&id) {
             open.answered = true;
             if open.attempts.iter().all(Option::is_none) {
+                self.ids.remove(open.statement.id());
                 self.open.remove(&id);
             }
         }
@@ -518,6 +532,12 @@
     }
 }
 
+/// Whether an error lies in the statement, not in its host: by the standard's classes, in the protocol, the
+/// data or the syntax. It is as wrong anywhere else.
+fn of_the_statement(code: &str) -> bool {
+    code.starts_with("08P") || code.starts_with("22") || code.starts_with("42")
+}
+
 /// A Unix time in milliseconds on the decisions' clock.
 fn unix_ms(ms: u64) -> Time {
     Time(ms.saturating_mul(1_000_000))
--- a/crates/router/tests/routing.rs
+++ b/crates/router/tests/routing.rs
@@ -519,3 +519,32 @@
         prop_assert_eq!(d.router.books().0, 0);
     }
 }
+
+#[test]
+fn the_id_of_an_open_request_is_an_error_and_reaches_no_host() {
+    let mut d = Driven::new();
+    let first = begun(&d.ask(1, "write", ",id=same"))[0].0;
+    let effects = d.input(Input::Request(ClientId(2), statement("write", ",id=same")));
+    let said = answers(&effects);
+    assert!(matches!(&said[..], [(2, Answer::Invalid(e))] if e.code == "22023"), "{said:?}");
+    assert!(begun(&effects).is_empty());
+    // The first is none the worse, and once it has ended its id is free.
+    let effects = d.end(first, Ended::Answered(Ending::Row(row(b"x")), Telling::default()));
+    assert!(matches!(&answers(&effects)[..], [(1, Answer::Served(_))]));
+    let effects = d.input(Input::Request(ClientId(2), statement("write", ",id=same")));
+    assert_eq!((answers(&effects).len(), begun(&effects).len()), (0, 1));
+}
+
+#[test]
+fn what_a_host_finds_wrong_with_a_statement_is_not_held_against_the_host() {
+    for code in ["08P01", "22023", "42601"] {
+        let mut d = Driven::new();
+        for n in 0..5 {
+            let (id, ..) = d.attempt(n, "write");
+            let effects = d.end(id, Ended::Answered(Ending::Error(code.into()), Telling::default()));
+            assert!(matches!(&answers(&effects)[..], [(_, Answer::Invalid(_))]), "{code}: {effects:?}");
+            assert!(begun(&effects).is_empty(), "as wrong anywhere else");
+        }
+        d.attempt(9, "write");
+    }
+}
