--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -231,7 +231,7 @@
 
     /// Requests, probes and timers on the books; the decisions' own timer is among the last.
     pub fn books(&self) -> (usize, usize, usize) {
-        (self.open.len(), self.probes.len(), self.timers.len())
+        (self.open.len().max(self.ids.len()), self.probes.len(), self.timers.len())
     }
 
     /// Hands events to the decisions until none are left, and carries their actions over.
