--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,5 +1,6 @@
 //! The one place where configuration is read, checked and given defaults: the settings of a deployment (for
-//! both programs) and what the router is told about itself.
+//! both programs), what the router is told about itself, and our own settings.
+pub mod own;
 pub mod router;
 pub mod settings;
 
--- /dev/null
+++ b/crates/config/src/own.rs
@@ -0,0 +1,246 @@
+//! Our own settings: a KDL file named by `--settings` or `BASALTHILL_SETTINGS`. Without it nothing of what it
+//! can switch on is on. `deploy/basalthill.kdl` shows every key with its default.
+
+use crate::ConfigError;
+use basalthill_policy::api::Time;
+use basalthill_session::sessions::{Handing, Plan, StandIn};
+use basalthill_session::token::{Key, KeyId, Keys, SHORTEST_SECRET};
+use kdl::{KdlDocument, KdlEntry, KdlNode, KdlValue};
+use std::path::{Path, PathBuf};
+
+/// What the file says; empty without one.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Own {
+    /// How sessions are kept together.
+    pub sessions: Option<SessionSettings>,
+}
+
+/// How sessions are kept together.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SessionSettings {
+    /// What the floors follow.
+    pub plan: Plan,
+    /// Where the book is kept over a stop in good order.
+    pub snapshot: Option<Snapshot>,
+}
+
+/// A place on a disk that outlives the process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Snapshot {
+    /// The file.
+    pub path: PathBuf,
+    /// An older one is refused.
+    pub max_age: Time,
+}
+
+const SKEW: Time = Time::ms(5);
+const SETTLE: Time = Time::ms(3000);
+const LEAD: Time = Time::ms(50);
+const TOKEN_AGE_S: u64 = 24 * 3600;
+const SNAPSHOT_AGE_S: u64 = 300;
+/// Longest time that can be given for what a read waits for or a write needs, in milliseconds.
+const MOST_MS: i128 = 60_000;
+const MOST_S: i128 = 366 * 24 * 3600;
+
+/// Reads the file at `path`.
+pub fn load(path: &Path) -> Result<Own, ConfigError> {
+    let shown = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|e| ConfigError::new(&shown, e.to_string()))?;
+    parse(&text).map_err(|e| ConfigError::new(format!("{shown}:{}", e.key), e.problem))
+}
+
+/// Reads the file's text. A fault's key is `LINE:COLUMN: KEY`.
+pub fn parse(text: &str) -> Result<Own, ConfigError> {
+    let document = KdlDocument::parse_v2(text).map_err(|e| {
+        let first = e.diagnostics.first();
+        let at = first.map_or(0, |d| d.span.offset());
+        let problem = first.and_then(|d| d.message.clone().or(d.label.clone()));
+        place(text, at, "(file)", problem.unwrap_or_else(|| "is not KDL".into()))
+    })?;
+    let file = File { text };
+    let mut own = Own::default();
+    for node in document.nodes() {
+        match node.name().value() {
+            "sessions" if own.sessions.is_none() => own.sessions = Some(file.sessions(node)?),
+            "sessions" => return Err(file.fault(node, "sessions", "is given twice")),
+            other => return Err(file.fault(node, other, "is unknown")),
+        }
+    }
+    Ok(own)
+}
+
+fn place(text: &str, offset: usize, key: &str, problem: impl Into<String>) -> ConfigError {
+    let before = &text.as_bytes()[..offset.min(text.len())];
+    let line = before.iter().filter(|b| **b == b'\n').count() + 1;
+    let column = before.iter().rev().take_while(|b| **b != b'\n').count() + 1;
+    ConfigError::new(format!("{line}:{column}: {key}"), problem)
+}
+
+struct File<'a> {
+    text: &'a str,
+}
+
+impl File<'_> {
+    fn fault(&self, node: &KdlNode, key: &str, problem: impl Into<String>) -> ConfigError {
+        place(self.text, node.span().offset(), key, problem)
+    }
+
+    fn entry_fault(&self, entry: &KdlEntry, key: &str, problem: impl Into<String>) -> ConfigError {
+        // A span may begin with the blanks before its entry.
+        let (at, len) = (entry.span().offset(), entry.span().len());
+        let span = self.text.get(at..at + len).unwrap_or_default();
+        place(self.text, at + span.len() - span.trim_start().len(), key, problem)
+    }
+
+    /// A node's arguments: so many, and properties of these names only.
+    fn shape(
+        &self,
+        node: &KdlNode,
+        key: &str,
+        arguments: usize,
+        properties: &[&str],
+    ) -> Result<(), ConfigError> {
+        let mut count = 0;
+        for entry in node.entries() {
+            match entry.name().map(|n| n.value()) {
+                None => count += 1,
+                Some(name) if properties.contains(&name) => {}
+                Some(name) => return Err(self.entry_fault(entry, &format!("{key}.{name}"), "is unknown")),
+            }
+        }
+        match count == arguments {
+            true => Ok(()),
+            false => Err(self.fault(node, key, format!("takes {arguments} values, not {count}"))),
+        }
+    }
+
+    fn word<'n>(
+        &self,
+        node: &'n KdlNode,
+        key: &str,
+        name: impl Into<kdl::NodeKey>,
+    ) -> Result<&'n str, ConfigError> {
+        let Some(entry) = node.entry(name) else { return Err(self.fault(node, key, "is missing")) };
+        entry.value().as_string().ok_or_else(|| self.entry_fault(entry, key, "must be text"))
+    }
+
+    fn flag(&self, node: &KdlNode, key: &str, name: &str) -> Result<bool, ConfigError> {
+        let Some(entry) = node.entry(name) else { return Ok(false) };
+        entry.value().as_bool().ok_or_else(|| self.entry_fault(entry, key, "must be #true or #false"))
+    }
+
+    fn number(
+        &self,
+        node: &KdlNode,
+        key: &str,
+        name: impl Into<kdl::NodeKey>,
+        range: std::ops::RangeInclusive<i128>,
+    ) -> Result<Option<u64>, ConfigError> {
+        let Some(entry) = node.entry(name) else { return Ok(None) };
+        match entry.value() {
+            KdlValue::Integer(n) if range.contains(n) => Ok(Some(*n as u64)),
+            _ => {
+                let problem = format!("must be a whole number from {} to {}", range.start(), range.end());
+                Err(self.entry_fault(entry, key, problem))
+            }
+        }
+    }
+
+    fn ms(&self, node: &KdlNode, key: &str) -> Result<Time, ConfigError> {
+        self.shape(node, key, 1, &[])?;
+        Ok(Time::ms(self.number(node, key, 0, 0..=MOST_MS)?.unwrap_or_default()))
+    }
+
+    fn sessions(&self, node: &KdlNode) -> Result<SessionSettings, ConfigError> {
+        self.shape(node, "sessions", 0, &["floor"])?;
+        let key = "sessions.floor";
+        let stand_in = match self.word(node, key, "floor")? {
+            "nothing" => StandIn::Nothing,
+            "router" => StandIn::Router,
+            "connection" => StandIn::Connection,
+            "arrival" => StandIn::Arrival,
+            other => {
+                let problem = format!("{other:?} is none of nothing, router, connection, arrival");
+                return Err(self.fault(node, key, problem));
+            }
+        };
+        let (handing, early, keys) = (Handing::Never, false, None);
+        let mut plan = Plan { stand_in, skew: SKEW, settle: SETTLE, lead: LEAD, handing, early, keys };
+        let (mut snapshot, mut seen) = (None, Vec::new());
+        for child in node.iter_children() {
+            let name = child.name().value();
+            let key = format!("sessions.{name}");
+            if seen.contains(&name) {
+                return Err(self.fault(child, &key, "is given twice"));
+            }
+            seen.push(name);
+            match name {
+                "skew-ms" => plan.skew = self.ms(child, &key)?,
+                "settle-ms" => plan.settle = self.ms(child, &key)?,
+                "lead-ms" => plan.lead = self.ms(child, &key)?,
+                "tokens" => self.tokens(child, &mut plan)?,
+                "snapshot" => {
+                    self.shape(child, &key, 1, &["max-age-s"])?;
+                    let path = PathBuf::from(self.word(child, &key, 0)?);
+                    let age = self.number(child, &format!("{key}.max-age-s"), "max-age-s", 1..=MOST_S)?;
+                    let max_age = Time::ms(age.unwrap_or(SNAPSHOT_AGE_S) * 1000);
+                    snapshot = Some(Snapshot { path, max_age });
+                }
+                _ => return Err(self.fault(child, &key, "is unknown")),
+            }
+        }
+        Ok(SessionSettings { plan, snapshot })
+    }
+
+    fn tokens(&self, node: &KdlNode, plan: &mut Plan) -> Result<(), ConfigError> {
+        self.shape(node, "sessions.tokens", 0, &["with", "early", "max-age-s"])?;
+        plan.handing = match self.word(node, "sessions.tokens.with", "with")? {
+            "writes" => Handing::Writes,
+            "reads" => Handing::Reads,
+            "nothing" => Handing::Never,
+            other => {
+                let problem = format!("{other:?} is none of writes, reads, nothing");
+                return Err(self.fault(node, "sessions.tokens.with", problem));
+            }
+        };
+        plan.early = self.flag(node, "sessions.tokens.early", "early")?;
+        let age = self.number(node, "sessions.tokens.max-age-s", "max-age-s", 1..=MOST_S)?;
+        let max_age = Time::ms(age.unwrap_or(TOKEN_AGE_S) * 1000);
+        let (mut signing, mut verifying) = (None, Vec::<Key>::new());
+        for child in node.iter_children() {
+            let name = "sessions.tokens.key";
+            if child.name().value() != "key" {
+                let key = format!("sessions.tokens.{}", child.name().value());
+                return Err(self.fault(child, &key, "is unknown"));
+            }
+            self.shape(child, name, 2, &["signs"])?;
+            let number = self.number(child, name, 0, 0..=255)?.unwrap_or_default();
+            let short = || {
+                let problem = format!("the secret must be {SHORTEST_SECRET} bytes or more, in hexadecimal");
+                self.fault(child, name, problem)
+            };
+            let secret = hex(self.word(child, name, 1)?).ok_or_else(short)?;
+            let key = Key::new(KeyId(number as u8), secret).ok_or_else(short)?;
+            if signing.iter().chain(&verifying).any(|k: &Key| k.id == key.id) {
+                return Err(self.fault(child, name, format!("number {number} is given twice")));
+            }
+            match (self.flag(child, "sessions.tokens.key.signs", "signs")?, &signing) {
+                (true, None) => signing = Some(key),
+                (true, Some(_)) => return Err(self.fault(child, name, "only one key signs")),
+                (false, _) => verifying.push(key),
+            }
+        }
+        let none = || self.fault(node, "sessions.tokens", "no key signs");
+        plan.keys = Some(Keys { signing: signing.ok_or_else(none)?, verifying, max_age });
+        Ok(())
+    }
+}
+
+fn hex(text: &str) -> Option<Vec<u8>> {
+    let pairs = text.as_bytes().chunks(2);
+    let byte = |pair: &[u8]| {
+        let text = std::str::from_utf8(pair).ok().filter(|t| t.len() == 2 && !t.starts_with('+'))?;
+        u8::from_str_radix(text, 16).ok()
+    };
+    pairs.map(byte).collect()
+}
--- a/crates/config/src/router.rs
+++ b/crates/config/src/router.rs
@@ -1,6 +1,7 @@
 //! What one router is told: its file (`BALANCER_CONFIG`) and variables. At the start a variable wins over the
 //! file's key. When the file is read again, its `discovery` wins: the variable can't have changed since.
 
+use crate::own::{self, Own};
 use crate::settings::{self, Site};
 use crate::{typed, ConfigError};
 use basalthill_policy::api::Time;
@@ -26,6 +27,8 @@
     pub known: Value,
     /// The deployment.
     pub site: Site,
+    /// Our own settings; nothing without their file.
+    pub own: Own,
     /// Keys of the file that a variable has overruled.
     pub overruled: Vec<String>,
 }
@@ -83,6 +86,11 @@
         self.sockets / 4
     }
 
+    /// Most memory, in bytes, that the book of sessions may come to take: a sixteenth.
+    pub fn book_bytes(&self) -> usize {
+        (self.memory_mb << 20) as usize / 16
+    }
+
     /// How many statements past [`LARGE`] may be on the way at a time: a quarter of the memory is theirs, and
     /// one may stand in memory twice while it is taken over.
     pub fn large_statements(&self) -> usize {
@@ -161,15 +169,22 @@
     }
 }
 
-/// Reads the file at `path` and the variables that `variable` looks up.
+/// Reads the file at `path`, our own settings if there is a file of them, and the variables that `variable`
+/// looks up.
 pub fn load(
     path: &Path,
+    settings: Option<&Path>,
     variable: impl Fn(&str) -> Option<String>,
     reading: Reading,
 ) -> Result<RouterConfig, ConfigError> {
     let shown = path.display().to_string();
     let text = std::fs::read(path).map_err(|e| ConfigError::new(&shown, e.to_string()))?;
-    parse(&text, variable, reading).map_err(|e| ConfigError::new(format!("{shown}: {}", e.key), e.problem))
+    let mut config = parse(&text, variable, reading)
+        .map_err(|e| ConfigError::new(format!("{shown}: {}", e.key), e.problem))?;
+    if let Some(path) = settings {
+        config.own = own::load(path)?;
+    }
+    Ok(config)
 }
 
 /// Reads the file's text and the variables that `variable` looks up.
@@ -212,7 +227,8 @@
     let site = settings::from_value(file.settings)?;
     in_range(&site).map_err(|e| e.under("settings"))?;
     let limits = Limits { sockets: file.limits.sockets, memory_mb: file.limits.memory_mb };
-    Ok(RouterConfig { name, listen, discovery, seed, limits, known: file.known, site, overruled })
+    let (known, own) = (file.known, Own::default());
+    Ok(RouterConfig { name, listen, discovery, seed, limits, known, site, own, overruled })
 }
 
 /// Figures that no deployment can have.
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -2,6 +2,7 @@
 
 use crate::{typed, ConfigError};
 use basalthill_policy::api::*;
+use basalthill_session::Tokens;
 use serde::Deserialize;
 use serde_json::Value;
 
@@ -21,6 +22,8 @@
 pub struct Site {
     /// What the decisions are told.
     pub settings: Settings,
+    /// How session floors are known.
+    pub tokens: Tokens,
     /// Where positions count from on the bench's wire. On sockets they are Unix times.
     pub zero: Time,
     /// Names of a report's values.
@@ -248,11 +251,6 @@
         positions: f.positions,
         probe_positions: column("x0"),
         probe_roles: column("x1"),
-        tokens: match f.token_mode.as_str() {
-            "brought" => Tokens::Carried,
-            "kept" => Tokens::Remembered,
-            other => return Err(unknown("familyInfo.tokenMode".into(), other)),
-        },
         when_behind: match f.when_behind.as_str() {
             "none" => WhenBehind::Answers,
             "bounce" => WhenBehind::Refuses,
@@ -275,8 +273,14 @@
         price_cross_zone: t.prices.cross_zone,
         price_waste: t.prices.waste,
     };
+    let tokens = match f.token_mode.as_str() {
+        "brought" => Tokens::Carried,
+        "kept" => Tokens::Remembered,
+        other => return Err(unknown("familyInfo.tokenMode".into(), other)),
+    };
     Ok(Site {
         settings,
+        tokens,
         zero: Time(f.zero),
         columns: t.reporting.columns,
         reports,
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -148,16 +148,6 @@
     None,
 }
 
-/// How a session read's floor is known.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Tokens {
-    /// The read says how long ago its session last wrote.
-    #[default]
-    Carried,
-    /// The router remembers the writes it has answered.
-    Remembered,
-}
-
 /// What a router is told when it starts.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
@@ -187,8 +177,6 @@
     pub probe_positions: bool,
     /// Whether probes return the role.
     pub probe_roles: bool,
-    /// How session floors are known.
-    pub tokens: Tokens,
     /// What lagging members do with reads.
     pub when_behind: WhenBehind,
     /// Attempts a request may have.
@@ -323,14 +311,14 @@
     pub class: ClassId,
     /// Its tenant.
     pub tenant: TenantId,
-    /// Its session, if any.
-    pub session: Option<SessionKey>,
     /// The time at which its client gives up.
     pub give_up: Time,
     /// Its group.
     pub group: GroupId,
-    /// How long ago its session's last write was committed.
-    pub token: Option<Time>,
+    /// The position that a session read must see at least; zero if any will do.
+    pub floor: Time,
+    /// How far ahead of a replica's position the floor may lie for that replica to be waited for.
+    pub lead: Time,
     /// The client says that it is repeating.
     pub repeat: bool,
 }
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -169,7 +169,6 @@
     groups: BTreeMap<GroupId, Vec<MemberId>>,
     probes: f64, // that may still be sent
     next: Time,  // of the timer that counts
-    written: BTreeMap<SessionKey, Time>,
     asked: Time,
     short: Time,             // when a connect failed last
     served: (f64, Time),     // work, fading
@@ -435,7 +434,11 @@
             Consistency::Any | Consistency::Write => true,
             _ if is_primary => true,
             Consistency::Fresh => false,
-            Consistency::Session => job.floor == Time(0) || unknown || at.is_some_and(|p| p >= job.floor),
+            Consistency::Session => {
+                let waits = estimated && matches!(self.set.when_behind, WhenBehind::Waits(_));
+                let floor = job.floor.minus(if waits { job.req.lead } else { Time(0) });
+                job.floor == Time(0) || unknown || at.is_some_and(|p| p >= floor)
+            }
             Consistency::Bounded(bound) => unknown || at.is_some_and(|p| self.now.since(p) <= bound),
         }
     }
@@ -466,7 +469,7 @@
         let long = needs == Consistency::Any
             && own > LONG_TIMES * self.base.iter().copied().fold(f64::MAX, f64::min);
         let again = |s| matches!(s, Some(Status::Full | Status::ConnectFailed));
-        let (mut some, mut best): (bool, Option<(f64, MemberId)>) = (false, None);
+        let (mut some, mut soon, mut best): (bool, bool, Option<(f64, MemberId)>) = (false, false, None);
         for id in self.groups.get(&job.req.group).into_iter().flatten() {
             let Some(m) = self.members.get(id) else { continue };
             let tried = job.tries.iter().any(|t| t.member == *id && !again(t.status));
@@ -476,6 +479,9 @@
             let room = self.room(m, self.warmth(m) * near) && !tried && m.draining.is_none();
             let passes = Some(*id) != primary && self.admits(job, m) && self.passes(job, *id, m, estimated);
             some |= passes;
+            let ahead = job.floor.since(self.estimate(m).unwrap_or(job.floor));
+            let follows = Some(*id) != primary && m.draining.is_none() && self.admits(job, m);
+            soon |= follows && ahead > Time(0) && ahead <= job.req.lead;
             if !(room && passes) || self.crowded(job, m) || !self.legal(job, *id) {
                 continue;
             }
@@ -492,6 +498,10 @@
                 best = Some((cost, *id));
             }
         }
+        // A replica that passes in a moment is waited for, where the request says so: the last resort is not due.
+        if soon && !some {
+            return None;
+        }
         let best = best.map(|b| b.1).or_else(|| self.trial(job, primary).filter(|_| !some));
         best.or_else(|| primary.filter(|id| self.spills(job, *id)))
     }
@@ -536,11 +546,9 @@
     fn request(&mut self, req: Request, out: &mut Vec<Action>) {
         let c = usize::from(req.class.0);
         let Some(class) = self.set.classes.get(c) else { return out.push(Action::Fail(req.id)) };
-        let wrote = |s| self.written.get(&s).copied().unwrap_or_default();
-        let floor = match (class.consistency, self.set.tokens) {
-            (Consistency::Fresh, _) => self.now,
-            (Consistency::Session, Tokens::Carried) => req.token.map_or(Time(0), |t| self.now.minus(t)),
-            (Consistency::Session, _) => req.session.map_or(Time(0), wrote),
+        let floor = match class.consistency {
+            Consistency::Fresh => self.now,
+            Consistency::Session => req.floor,
             _ => Time(0),
         };
         // Most clients of a class come with the same time left (told by vote); one with less has waited for a
@@ -626,11 +634,6 @@
                 if let Some(m) = self.members.get_mut(&o.member) {
                     m.in_flight = m.in_flight.saturating_sub(u32::from(!t.lost));
                 }
-                let write = self.set.classes[job.c].consistency == Consistency::Write;
-                let wrote = o.standing.position.filter(|_| write && o.status == Status::Ok);
-                if let (Some(s), Some(p)) = (job.req.session, wrote) {
-                    self.written.entry(s).and_modify(|w| *w = p.max(*w)).or_insert(p);
-                }
             }
         }
         self.judge(&o, class, sent, out);
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -50,7 +50,6 @@
         positions: true,
         probe_positions: true,
         probe_roles: true,
-        tokens: Tokens::Carried,
         when_behind: WhenBehind::Refuses,
         max_attempts: 6,
         second_copies: true,
@@ -86,6 +85,8 @@
 pub struct Bench {
     pub policy: Policy,
     pub now: Time,
+    /// How long a session read's floor may lie ahead.
+    pub lead: Time,
     pub next: u64,
     pub actions: Vec<Action>,
     /// Attempts made, by request.
@@ -114,6 +115,7 @@
         let mut b = Bench {
             policy,
             now: Time::ms(100_000),
+            lead: Time(0),
             next: 0,
             actions: Vec::new(),
             tries,
@@ -164,10 +166,10 @@
             id,
             class,
             tenant: TenantId(0),
-            session: Some(SessionKey(1)),
             give_up: self.now.plus(Time::ms(if class == REPORT { 8000 } else { 1500 })),
             group: GroupId(0),
-            token: (token_ms > 0).then(|| Time::ms(token_ms)),
+            floor: if token_ms > 0 { self.now.minus(Time::ms(token_ms)) } else { Time(0) },
+            lead: self.lead,
             repeat,
         }));
         id
--- a/crates/policy/tests/failures.rs
+++ b/crates/policy/tests/failures.rs
@@ -412,20 +412,6 @@
     assert!(!b.refused(id) && b.tries[&id].len() > 3, "the search goes on past half");
 }
 
-#[test]
-fn remembered_writes_hold_back_their_sessions_reads() {
-    let mut set = settings();
-    set.tokens = Tokens::Remembered;
-    set.when_behind = WhenBehind::Answers;
-    let mut b = Bench::new(set);
-    b.teach([50, 50]);
-    let write = b.ask(KEYED, 0);
-    b.end(write, Status::Ok, 20, 0, Role::Primary);
-    let read = b.ask(SESSION, 0);
-    b.run(50);
-    assert_eq!(b.went(read), Some(1), "no replica is known to have the write");
-}
-
 #[test]
 fn the_list_is_asked_for_where_it_does_not_come_by_itself() {
     let mut set = settings();
@@ -676,10 +662,10 @@
         id: old,
         class: BOUNDED,
         tenant: TenantId(0),
-        session: None,
         give_up,
         group: GroupId(0),
-        token: None,
+        floor: Time(0),
+        lead: Time(0),
         repeat: false,
     }));
     assert!(b.refused(old), "its aim passed while the router stood still");
@@ -728,10 +714,10 @@
             id: RequestId(9999),
             class: ANY,
             tenant: TenantId(0),
-            session: None,
             give_up: b.now.plus(Time::ms(1500)),
             group: GroupId(77),
-            token: None,
+            floor: Time(0),
+            lead: Time(0),
             repeat: false,
         }));
         assert!(b.refused(RequestId(9999)) && !b.refused(id), "a group that no list named");
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -331,9 +331,9 @@
                 let tries = Vec::new();
                 let came = self.now;
                 self.asked.insert(id, Asked { class, group, came, floor, give_up, tries, over: false });
-                let (tenant, session) = (TenantId(0), Some(SessionKey(9)));
+                let (tenant, lead) = (TenantId(0), Time::ms([0, 0, 20, 80][n % 4]));
                 let repeat = n % 3 == 0;
-                let req = Request { id, class: class_id, tenant, session, give_up, group, token, repeat };
+                let req = Request { id, class: class_id, tenant, give_up, group, floor, lead, repeat };
                 self.event(Event::Request(req));
             }
             Step::End { pick, status, behind, primary } => {
@@ -548,10 +548,10 @@
                     id: RequestId(ms),
                     class: BOUNDED,
                     tenant: TenantId(0),
-                    session: None,
                     give_up: now.plus(Time::ms(1500)),
                     group: GroupId(0),
-                    token: None,
+                    floor: Time(0),
+                    lead: Time(0),
                     repeat: false,
                 }));
             }
--- a/crates/router/src/program/mod.rs
+++ b/crates/router/src/program/mod.rs
@@ -11,7 +11,7 @@
 use futures_lite::{future, stream, Stream, StreamExt};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
@@ -47,6 +47,16 @@
     /// The configuration file.
     #[arg(long, env = "BALANCER_CONFIG")]
     config: Option<PathBuf>,
+    /// Our own settings, a KDL file; nothing of what it switches on is on without it.
+    #[arg(long, env = "BASALTHILL_SETTINGS")]
+    settings: Option<PathBuf>,
+}
+
+/// The files that make up a router's configuration.
+#[derive(Clone)]
+struct Files {
+    config: PathBuf,
+    settings: Option<PathBuf>,
 }
 
 const BAD_CONFIGURATION: u8 = 2;
@@ -58,13 +68,15 @@
 pub fn main() -> ExitCode {
     let arguments = Arguments::parse();
     logger::start(arguments.log);
-    let from_variable = || ConfigArgument { config: std::env::var_os("BALANCER_CONFIG").map(PathBuf::from) };
+    let variable = |name| std::env::var_os(name).filter(|v| !v.is_empty()).map(PathBuf::from);
+    let from_variable =
+        || ConfigArgument { config: variable("BALANCER_CONFIG"), settings: variable("BASALTHILL_SETTINGS") };
     let code = match arguments.command.unwrap_or_else(|| Command::Serve(from_variable())) {
         Command::Version => {
             println!("basalthill {}", env!("CARGO_PKG_VERSION"));
             ExitCode::SUCCESS
         }
-        Command::CheckConfig(argument) => match path(argument).and_then(|p| read(&p, Reading::Start)) {
+        Command::CheckConfig(argument) => match files(argument).and_then(|f| read(&f, Reading::Start)) {
             Ok(config) => {
                 println!("{}: the configuration is sound", config.name);
                 ExitCode::SUCCESS
@@ -81,8 +93,8 @@
                 ExitCode::FAILURE
             }
         },
-        Command::Serve(argument) => match path(argument) {
-            Ok(path) => serve(path),
+        Command::Serve(argument) => match files(argument) {
+            Ok(files) => serve(files),
             Err(e) => bad(&e),
         },
     };
@@ -90,13 +102,13 @@
     code
 }
 
-fn path(argument: ConfigArgument) -> Result<PathBuf, ConfigError> {
+fn files(argument: ConfigArgument) -> Result<Files, ConfigError> {
     let missing = || ConfigError::new("BALANCER_CONFIG", "is not set, and no --config is given");
-    argument.config.ok_or_else(missing)
+    Ok(Files { config: argument.config.ok_or_else(missing)?, settings: argument.settings })
 }
 
-fn read(path: &Path, reading: Reading) -> Result<RouterConfig, ConfigError> {
-    let config = load(path, |name| std::env::var(name).ok(), reading)?;
+fn read(files: &Files, reading: Reading) -> Result<RouterConfig, ConfigError> {
+    let config = load(&files.config, files.settings.as_deref(), |name| std::env::var(name).ok(), reading)?;
     for key in &config.overruled {
         log::warn!("configuration: a variable overrules the file's {key}");
     }
@@ -145,7 +157,7 @@
     }
 }
 
-fn serve(path: PathBuf) -> ExitCode {
+fn serve(files: Files) -> ExitCode {
     // The handlers stand before anything that may take a while: unhandled, SIGHUP would end the program.
     let signals = match Signals::new([Signal::Term, Signal::Int, Signal::Hup]) {
         Ok(signals) => signals,
@@ -154,7 +166,7 @@
             return ExitCode::FAILURE;
         }
     };
-    let config = match read(&path, Reading::Start) {
+    let config = match read(&files, Reading::Start) {
         Ok(config) => config,
         Err(e) => return bad(&e),
     };
@@ -167,7 +179,7 @@
     };
     let listen = listener.local_addr().unwrap_or(config.listen);
     log::info!("{} listens on {listen}", config.name);
-    match transport::serve(listener, config, commands(signals, path)) {
+    match transport::serve(listener, config, commands(signals, files)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             log::error!("{e}");
@@ -178,8 +190,8 @@
 
 /// What the signals ask for. On SIGHUP the file is read on a thread of its own, so that no request waits for
 /// it; another signal meanwhile is heard, and the newest file counts.
-fn commands(signals: Signals, path: PathBuf) -> impl Stream<Item = Ask> {
-    stream::unfold((signals, path), |(mut signals, path)| async move {
+fn commands(signals: Signals, files: Files) -> impl Stream<Item = Ask> {
+    stream::unfold((signals, files), |(mut signals, files)| async move {
         let mut again = None;
         loop {
             let signal = async { Err(signals.next().await) };
@@ -191,11 +203,11 @@
             };
             match future::or(signal, file).await {
                 Err(Some(Ok(Signal::Hup))) => {
-                    let path = path.clone();
-                    again = Some(blocking::unblock(move || read(&path, Reading::Again)));
+                    let files = files.clone();
+                    again = Some(blocking::unblock(move || read(&files, Reading::Again)));
                 }
-                Err(_) => return Some((Ask::Stop, (signals, path))),
-                Ok(Ok(config)) => return Some((Ask::Reload(Box::new(config)), (signals, path))),
+                Err(_) => return Some((Ask::Stop, (signals, files))),
+                Ok(Ok(config)) => return Some((Ask::Reload(Box::new(config)), (signals, files))),
                 Ok(Err(e)) => {
                     log::error!("configuration: not taken over, the old one stays in force: {e}");
                     again = None;
--- a/crates/router/src/protocol/client.rs
+++ b/crates/router/src/protocol/client.rs
@@ -154,6 +154,19 @@
     out
 }
 
+/// The parameter that carries a session's token.
+pub const SESSION_TOKEN: &str = "session_token";
+
+/// A ParameterStatus message with a session's token.
+pub fn session_token(token: &str) -> Vec<u8> {
+    let mut out = Vec::with_capacity(32 + token.len());
+    put(&mut out, b'S', |out| {
+        put_text(out, SESSION_TOKEN);
+        put_text(out, token);
+    });
+    out
+}
+
 /// The answer to an empty query.
 pub fn empty_query() -> Vec<u8> {
     let mut out = Vec::with_capacity(16);
--- a/crates/router/src/protocol/statement.rs
+++ b/crates/router/src/protocol/statement.rs
@@ -19,6 +19,9 @@
     }
 }
 
+/// So many tokens of a statement are read; a client that holds more is told.
+pub const TOKENS: usize = 4;
+
 /// A client's patience counts as no more than a day.
 const LONGEST_MS: u64 = 86_400_000;
 
@@ -54,8 +57,12 @@
     pub patience_ms: u64,
     /// The group.
     pub cluster: u32,
-    /// The position that the read has to see, a Unix time in milliseconds.
+    /// The position that the read has to see, a Unix time in milliseconds; the latest if several are given.
     pub after: Option<u64>,
+    /// Where the figures of `after` stand.
+    afters: Vec<Range<usize>>,
+    session: Option<Range<usize>>,
+    tokens: Vec<Range<usize>>,
     /// The client says that it is repeating.
     pub repeat: bool,
 }
@@ -83,6 +90,7 @@
         let comment = p.comment()?;
         let (mut class, mut tenant, mut patience, mut cluster, mut after) = (None, None, None, None, None);
         let (mut id, mut repeat) = (0..0, false);
+        let (mut afters, mut session, mut tokens) = (Vec::new(), None, Vec::new());
         for (name, value) in (Pairs { text: &text, at: comment.start, end: comment.end }) {
             let word = &text[value.clone()];
             match &text[name] {
@@ -94,7 +102,13 @@
                     let n = u32::try_from(number(word, "cluster")?);
                     cluster = Some(n.map_err(|_| invalid("cluster is out of range"))?);
                 }
-                b"after" => after = Some(number(word, "after")?),
+                b"after" => {
+                    after = after.max(Some(number(word, "after")?));
+                    afters.push(value);
+                }
+                b"session" => session = Some(value),
+                b"token" if tokens.len() == TOKENS => return Err(invalid("too many tokens")),
+                b"token" => tokens.push(value),
                 b"r" => repeat = word == b"1",
                 _ => {}
             }
@@ -106,7 +120,22 @@
         let tenant = tenant.unwrap_or(0..0);
         let (patience_ms, patience) = patience.ok_or_else(|| invalid("the comment holds no deadline (d)"))?;
         let cluster = cluster.ok_or_else(|| invalid("the comment holds no cluster"))?;
-        Ok(Statement { text, verb, id, key, class, tenant, patience, patience_ms, cluster, after, repeat })
+        Ok(Statement {
+            text,
+            verb,
+            id,
+            key,
+            class,
+            tenant,
+            patience,
+            patience_ms,
+            cluster,
+            after,
+            afters,
+            session,
+            tokens,
+            repeat,
+        })
     }
 
     /// The request's id; not empty.
@@ -125,11 +154,35 @@
     pub fn tenant(&self) -> &[u8] {
         &self.text[self.tenant.clone()]
     }
-    /// The text before and after the figure of `d`, which is written anew for each attempt.
-    pub fn around_patience(&self) -> (&[u8], &[u8]) {
-        (&self.text[..self.patience.start], &self.text[self.patience.end..])
+    /// The session's name, where the comment gives one; else the key names it.
+    pub fn session(&self) -> Option<&[u8]> {
+        self.session.clone().map(|range| &self.text[range])
+    }
+    /// Tokens that the client has brought.
+    pub fn tokens(&self) -> impl Iterator<Item = &[u8]> {
+        self.tokens.iter().map(|range| &self.text[range.clone()])
+    }
+    /// The text in parts, with another figure for `d`, which is written anew for each attempt, and where a floor
+    /// is given, that floor in `after`.
+    pub fn parts<'a>(&'a self, patience: &'a str, after: Option<&'a str>) -> Vec<&'a [u8]> {
+        let mut cuts: Vec<(&Range<usize>, [&str; 2])> = vec![(&self.patience, [patience, ""])];
+        match after {
+            Some(floor) if self.afters.is_empty() => cuts.push((&self.patience, [",after=", floor])),
+            Some(floor) => cuts.extend(self.afters.iter().map(|range| (range, [floor, ""]))),
+            None => {}
+        }
+        cuts.sort_by_key(|(range, _)| range.start);
+        let (mut parts, mut at) = (Vec::with_capacity(8), 0);
+        for (range, words) in cuts {
+            parts.push(&self.text[at.min(range.start)..range.start]);
+            parts.extend(words.map(str::as_bytes));
+            at = range.end;
+        }
+        parts.push(&self.text[at..]);
+        parts.retain(|part| !part.is_empty());
+        parts
     }
-    /// Length of the text.
+    /// The text as it came.
     pub fn text(&self) -> &[u8] {
         &self.text
     }
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -15,6 +15,9 @@
 use basalthill_config::settings::{Reports, Site};
 use basalthill_policy::api::*;
 use basalthill_policy::Policy;
+use basalthill_session::sessions::Bond;
+use basalthill_session::token::Owner;
+use basalthill_session::{Asked, Counts, Floor, Sessions, Tokens};
 use members::Members;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -54,6 +57,8 @@
 /// What comes in.
 #[derive(Debug)]
 pub enum Input {
+    /// A client's connection has been accepted.
+    ClientCame(ClientId),
     /// A client's request.
     Request(ClientId, Box<Statement>),
     /// A client has gone away, or is gone already.
@@ -84,8 +89,9 @@
 /// What is to be written for an exchange.
 #[derive(Clone, Debug)]
 pub enum Query {
-    /// A client's statement, with the time that the router will wait, in milliseconds.
-    Statement(Rc<Statement>, u64),
+    /// A client's statement, with the time that the router will wait, in milliseconds, and where floors are ours
+    /// to tell, the floor of its read as a Unix time in milliseconds.
+    Statement(Rc<Statement>, u64, Option<u64>),
     /// A query of our own.
     Own(&'static str),
 }
@@ -110,6 +116,8 @@
     Begin(Order),
     /// Give an exchange up.
     Abandon(ExchangeId),
+    /// Hand a client its session's token, before its answer or with it.
+    Token(ClientId, String),
     /// Answer a client.
     Answer(ClientId, Answer),
     /// Close the idle connections to an address.
@@ -123,7 +131,13 @@
     client: ClientId,
     statement: Rc<Statement>,
     give_up: Time,
+    group: GroupId,
+    /// What its session is known by, if it has one.
+    bond: Option<Bond>,
+    /// The floor that hosts are told.
+    floor_ms: Option<u64>,
     answered: bool,
+    served: bool,
     attempts: Vec<Option<Exchange>>, // None once its outcome is told
 }
 
@@ -139,7 +153,10 @@
 pub struct Router {
     policy: Policy,
     site: Site,
+    sessions: Sessions,
     members: Members,
+    /// When each client's connection was accepted.
+    accepted: BTreeMap<ClientId, Time>,
     open: BTreeMap<RequestId, Open>,
     by_client: BTreeMap<ClientId, RequestId>,
     /// Ids, as clients gave them, of the requests in `open`.
@@ -155,13 +172,22 @@
 
 impl Router {
     /// A router that has just started with the list as it last had it.
-    pub fn new(now: Time, site: Site, seed: u64, known: Option<HostList>, out: &mut Vec<Effect>) -> Router {
+    pub fn new(
+        now: Time,
+        site: Site,
+        sessions: Sessions,
+        seed: u64,
+        known: Option<HostList>,
+        out: &mut Vec<Effect>,
+    ) -> Router {
         let policy = Policy::new(site.settings.clone(), seed);
         let members = Members::new(&site.zones, site.settings.only_draining_binds);
         let mut router = Router {
             policy,
             site,
+            sessions,
             members,
+            accepted: BTreeMap::new(),
             open: BTreeMap::new(),
             by_client: BTreeMap::new(),
             ids: BTreeSet::new(),
@@ -182,11 +208,13 @@
     /// Takes an input; appends what is to be done.
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Effect>) {
         match input {
+            Input::ClientCame(client) => drop(self.accepted.insert(client, now)),
             Input::Request(client, statement) => self.request(now, client, statement, out),
             Input::ClientGone(client) => {
+                self.accepted.remove(&client);
                 if let Some(id) = self.by_client.remove(&client) {
                     self.tally.left += 1;
-                    self.close(id);
+                    self.close(now, id);
                     self.events.push_back(Event::Lapsed(id));
                 }
             }
@@ -198,7 +226,8 @@
             Input::Tick => self.due(now, out),
             Input::Shutdown => {
                 for (client, id) in std::mem::take(&mut self.by_client) {
-                    self.close(id);
+                    self.doubtful(now, id, out);
+                    self.close(now, id);
                     out.push(Effect::Answer(client, Answer::Failed));
                     self.events.push_back(Event::Lapsed(id));
                 }
@@ -229,6 +258,16 @@
         std::mem::take(&mut self.tally)
     }
 
+    /// How this router keeps its sessions.
+    pub fn sessions(&mut self) -> &mut Sessions {
+        &mut self.sessions
+    }
+
+    /// What has been counted of sessions since this was last asked.
+    pub fn session_counts(&mut self) -> Counts {
+        self.sessions.take_counts()
+    }
+
     /// Requests, probes and timers on the books; the decisions' own timer is among the last.
     pub fn books(&self) -> (usize, usize, usize) {
         (self.open.len().max(self.ids.len()), self.probes.len(), self.timers.len())
@@ -251,9 +290,13 @@
             Action::Send(id, member, limit) => self.send(now, id, member, limit, out),
             Action::Refuse(id, after) => {
                 let ms = after.map(|t| t.0.div_ceil(1_000_000));
-                self.answer(id, Answer::Refused(ms), out);
+                self.doubtful(now, id, out);
+                self.answer(now, id, Answer::Refused(ms), out);
+            }
+            Action::Fail(id) => {
+                self.doubtful(now, id, out);
+                self.answer(now, id, Answer::Failed, out);
             }
-            Action::Fail(id) => self.answer(id, Answer::Failed, out),
             Action::Cancel(id, attempt) => {
                 if let Some(x) = self.take_attempt(id, attempt) {
                     out.push(Effect::Abandon(ExchangeId::Attempt(id, attempt)));
@@ -311,25 +354,78 @@
         let id = RequestId(self.requests);
         self.requests += 1;
         let give_up = now.plus(Time::ms(statement.patience_ms));
-        let session = self.site.settings.classes[class].consistency == Consistency::Session
-            || self.site.settings.tokens == Tokens::Remembered;
+        let (bond, floor) = self.session(now, client, &statement, class, group);
         let request = Request {
             id,
             class: ClassId(class as u16),
             tenant: TenantId(tenant as u16),
-            session: session.then(|| SessionKey(hash(statement.key()))),
             give_up,
             group,
-            token: statement.after.map(|ms| now.since(unix_ms(ms))),
+            floor: floor.at,
+            lead: floor.lead,
             repeat: statement.repeat,
         };
+        let ours = self.sessions.planned() && floor.at > Time(0);
+        let floor_ms = ours.then(|| floor.at.0.div_ceil(1_000_000));
         self.ids.insert(statement.id().into());
         let statement = Rc::from(statement);
-        self.open.insert(id, Open { client, statement, give_up, answered: false, attempts: Vec::new() });
+        let (answered, served, attempts) = (false, false, Vec::new());
+        let open = Open { client, statement, give_up, group, bond, floor_ms, answered, served, attempts };
+        self.open.insert(id, open);
         self.by_client.insert(client, id);
         self.events.push_back(Event::Request(request));
     }
 
+    /// What a request's session is known by, and the floor of its read.
+    fn session(
+        &mut self,
+        now: Time,
+        client: ClientId,
+        statement: &Statement,
+        class: usize,
+        group: GroupId,
+    ) -> (Option<Bond>, Floor) {
+        let consistency = self.site.settings.classes[class].consistency;
+        let write = consistency == Consistency::Write;
+        let remembers = self.sessions.planned() || self.site.tokens == Tokens::Remembered;
+        if consistency != Consistency::Session && !(write && remembers) {
+            return (None, Floor::default());
+        }
+        let tokens: Vec<&[u8]> = statement.tokens().collect();
+        let asked = Asked {
+            owner: owner(&self.sessions, statement),
+            group,
+            after: statement.after.map(unix_ms),
+            tokens: &tokens,
+            // One that nobody saw come counts as new, which is stricter.
+            accepted: self.accepted.get(&client).copied().unwrap_or(now),
+        };
+        let bond = self.sessions.begin(now, &asked, write);
+        let floor = if write { Floor::default() } else { self.sessions.floor(now, &asked, &bond) };
+        (Some(bond), floor)
+    }
+
+    /// A host has served a request: what that says of its session, and the token that goes with the answer.
+    fn served(&mut self, now: Time, id: RequestId, position: Option<Time>, out: &mut Vec<Effect>) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let again = std::mem::replace(&mut open.served, true);
+        let Some(bond) = open.bond.as_mut().filter(|_| !again) else { return };
+        let owner = owner(&self.sessions, &open.statement);
+        let token = self.sessions.served(now, owner, open.group, bond, position);
+        out.extend(token.filter(|_| !open.answered).map(|t| Effect::Token(open.client, t)));
+    }
+
+    /// A request ends without a host's answer. A write that may have run, or may yet, leaves its session in
+    /// doubt, and its token says so.
+    fn doubtful(&mut self, now: Time, id: RequestId, out: &mut Vec<Effect>) {
+        let Some(open) = self.open.get_mut(&id).filter(|o| !o.answered && !o.served) else { return };
+        let still_out = open.attempts.iter().any(Option::is_some);
+        let Some(bond) = open.bond.as_mut().filter(|b| b.write && (b.doubt || still_out)) else { return };
+        bond.doubt = true;
+        let token = self.sessions.unknown(now, owner(&self.sessions, &open.statement), open.group, bond);
+        out.extend(token.map(|t| Effect::Token(open.client, t)));
+    }
+
     fn send(
         &mut self,
         now: Time,
@@ -361,7 +457,12 @@
         let timer = self.timers.add(now.plus(wait), Timer::Attempt(id, attempt));
         open.attempts.push(Some(Exchange { member, sent: now, timer }));
         let patience = (wait.0 / 1_000_000).max(1);
-        let query = Query::Statement(Rc::clone(&open.statement), patience);
+        let query = Query::Statement(Rc::clone(&open.statement), patience, open.floor_ms);
+        if let Some(bond) = open.bond.as_ref().filter(|b| b.write && attempt == Attempt(0)) {
+            let owner = owner(&self.sessions, &open.statement);
+            let token = self.sessions.early(now, owner, open.group, bond, now.plus(wait));
+            out.extend(token.map(|t| Effect::Token(open.client, t)));
+        }
         let id = ExchangeId::Attempt(id, attempt);
         out.push(Effect::Begin(Order { id, member, addr, query }));
     }
@@ -372,12 +473,13 @@
                 let Some(x) = self.take_attempt(id, attempt) else { return };
                 let (status, telling) = match ended {
                     Ended::Answered(Ending::Row(row), telling) => {
-                        self.answer(id, Answer::Served(row), out);
+                        self.served(now, id, telling.as_of.map(unix_ms), out);
+                        self.answer(now, id, Answer::Served(row), out);
                         (Status::Ok, telling)
                     }
                     Ended::Answered(Ending::Error(code), telling) if of_the_statement(&code) => {
                         let error = StatementError { code: "22023", message: "a host can't use it".into() };
-                        self.answer(id, Answer::Invalid(error), out);
+                        self.answer(now, id, Answer::Invalid(error), out);
                         (Status::Moot, telling)
                     }
                     Ended::Answered(Ending::Error(code), telling) => (by_code(&code), telling),
@@ -439,7 +541,7 @@
     }
 
     /// The final answer: the client gets it unless it has had one.
-    fn answer(&mut self, id: RequestId, answer: Answer, out: &mut Vec<Effect>) {
+    fn answer(&mut self, now: Time, id: RequestId, answer: Answer, out: &mut Vec<Effect>) {
         let Some(open) = self.open.get(&id).filter(|o| !o.answered) else { return };
         match answer {
             Answer::Served(_) => self.tally.served += 1,
@@ -449,16 +551,17 @@
         }
         self.by_client.remove(&open.client);
         out.push(Effect::Answer(open.client, answer));
-        self.close(id);
+        self.close(now, id);
     }
 
     /// A request has ended; its row goes once no attempt is out.
-    fn close(&mut self, id: RequestId) {
-        if let Some(open) = self.open.get_mut(&id) {
-            open.answered = true;
-            if open.attempts.iter().all(Option::is_none) {
-                self.ids.remove(open.statement.id());
-                self.open.remove(&id);
+    fn close(&mut self, now: Time, id: RequestId) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        open.answered = true;
+        if open.attempts.iter().all(Option::is_none) {
+            self.ids.remove(open.statement.id());
+            if let Some(Open { group, bond: Some(bond), .. }) = self.open.remove(&id) {
+                self.sessions.end(now, group, &bond);
             }
         }
     }
@@ -487,9 +590,15 @@
         t: Telling,
     ) {
         self.tally.attempt(status);
+        if let Some(position) = t.as_of {
+            self.sessions.told(now, unix_ms(position));
+        }
+        if let Some(open) = self.open.get_mut(&id).filter(|o| !o.served && !status.proves_unrun()) {
+            open.bond.iter_mut().for_each(|b| b.doubt = b.write);
+        }
         let ended = self.open.get(&id).is_none_or(|o| o.answered);
         if ended {
-            self.close(id);
+            self.close(now, id);
         }
         let role = t.primary.map(|p| if p { Role::Primary } else { Role::Replica });
         let standing = Standing { position: t.as_of.map(unix_ms), role };
@@ -508,6 +617,12 @@
     }
 }
 
+/// Whose request it is: by the name in the comment where floors are ours to make, else by the key.
+fn owner<'a>(sessions: &Sessions, statement: &'a Statement) -> Owner<'a> {
+    let name = statement.session().filter(|_| sessions.planned()).unwrap_or(statement.key());
+    Owner { name, key: SessionKey(hash(name)) }
+}
+
 /// What a load report says of its member's standing.
 fn reported(columns: &[String], text: &str) -> Standing {
     let mut standing = Standing::default();
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -30,9 +30,16 @@
     Leaving(Instant),
 }
 
+/// What is left for a client with a request.
+enum Word {
+    Answer(Answer),
+    Token(String),
+}
+
 /// Where a client's answer is left for its task, and what the connection is at.
 pub struct Slot {
     answer: RefCell<Option<Answer>>,
+    token: RefCell<Option<String>>,
     waker: RefCell<Option<Waker>>,
     stage: Cell<Stage>,
     ended: Cell<bool>,
@@ -55,6 +62,7 @@
     fn new() -> Slot {
         Slot {
             answer: RefCell::default(),
+            token: RefCell::default(),
             waker: RefCell::default(),
             stage: Cell::new(Stage::Unasked(Instant::now())),
             ended: Cell::new(false),
@@ -88,6 +96,18 @@
         self.wake();
     }
 
+    /// Leaves its session's token; a newer one takes the place of one that has not gone out.
+    pub fn token(&self, token: String) {
+        *self.token.borrow_mut() = Some(token);
+        self.wake();
+    }
+
+    /// What has been left: the answer, or a token that is not to wait for it.
+    fn word(&self) -> Option<Word> {
+        let answer = self.answer.borrow_mut().take().map(Word::Answer);
+        answer.or_else(|| self.token.borrow_mut().take().map(Word::Token))
+    }
+
     /// Wakes the task to look round.
     pub fn wake(&self) {
         if let Some(waker) = self.waker.borrow_mut().take() {
@@ -136,6 +156,7 @@
     let _ = stream.get_ref().set_nodelay(true);
     let slot = Rc::new(Slot::new());
     hub.clients.borrow_mut().insert(id, Rc::clone(&slot));
+    hub.input(Input::ClientCame(id));
     let (begun, faults) = (Cell::default(), Cell::default());
     let seat = Seat { hub, id, slot, large: RefCell::default(), begun, faults, _permits: permits };
     let mut side = ClientSide::default();
@@ -267,7 +288,7 @@
     let before = seat.slot.stage.replace(Stage::Busy);
     seat.hub.input(Input::Request(seat.id, Box::new(statement)));
     let answer = loop {
-        let ready = async { Ok(Some(seat.slot.until(|| seat.slot.answer.borrow_mut().take()).await)) };
+        let ready = async { Ok(Some(seat.slot.until(|| seat.slot.word()).await)) };
         // What comes meanwhile waits for its turn; a client that closes has gone away.
         let full = side.waiting() > LARGE;
         let fill = async {
@@ -279,15 +300,18 @@
                 _ => Err(Over),
             }
         };
-        if let Some(answer) = future::or(ready, fill).await? {
-            break answer;
+        match future::or(ready, fill).await? {
+            Some(Word::Answer(answer)) => break answer,
+            Some(Word::Token(token)) => write(stream, &[&client::session_token(&token)]).await?,
+            None => {}
         }
     };
+    let token = seat.slot.token.take().map(|t| client::session_token(&t)).unwrap_or_default();
     let reply = match answer {
         Answer::Served(row) => {
             seat.faults.set(0);
             let part = |n: usize| &row.bytes[row.parts[n].clone()];
-            return write(stream, &[part(0), part(1), part(2), READY]).await;
+            return write(stream, &[part(0), part(1), part(2), &token, READY]).await;
         }
         Answer::Refused(after) => {
             let detail = after.map(|ms| ms.to_string());
@@ -299,5 +323,5 @@
             return fault(seat, stream, client::error(e.code, &e.message, None)).await;
         }
     };
-    write(stream, &[&reply]).await
+    write(stream, &[&token, &reply]).await
 }
--- a/crates/router/src/transport/exchange.rs
+++ b/crates/router/src/transport/exchange.rs
@@ -89,11 +89,15 @@
 
 async fn write(stream: &Async<TcpStream>, query: &Query) -> std::io::Result<()> {
     match query {
-        Query::Statement(statement, patience) => {
-            let (before, after) = statement.around_patience();
-            let figure = patience.to_string();
-            let head = host::query_head(before.len() + figure.len() + after.len());
-            io::write(stream, &[&head, before, figure.as_bytes(), after, &[0]]).await
+        Query::Statement(statement, patience, floor) => {
+            let (figure, floor) = (patience.to_string(), floor.map(|ms| ms.to_string()));
+            let text = statement.parts(&figure, floor.as_deref());
+            let head = host::query_head(text.iter().map(|part| part.len()).sum());
+            let mut parts = Vec::with_capacity(text.len() + 2);
+            parts.push(&head[..]);
+            parts.extend(text);
+            parts.push(&[0]);
+            io::write(stream, &parts).await
         }
         Query::Own(text) => io::write(stream, &[&host::query(text)]).await,
     }
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -3,6 +3,7 @@
 
 mod budget;
 mod client;
+mod disk;
 mod exchange;
 mod io;
 mod pool;
@@ -17,6 +18,7 @@
     stop_limit, RouterConfig, ANSWER_REST, IDLE_SHARE, SOCKETS_RESERVED, STOP_SERVING,
 };
 use basalthill_policy::api::Time;
+use basalthill_session::Counts;
 use budget::{Budget, Permit, LOOK_AGAIN};
 use client::{Room, Slot};
 use futures_lite::{future, Stream, StreamExt};
@@ -89,7 +91,9 @@
         let connect_timeout = Duration::from_nanos(config.site.connect_timeout.0);
         let idle = Duration::from_nanos(config.site.conn_idle.times(IDLE_SHARE).0);
         let mut effects = Vec::new();
-        let router = Router::new(clock.now(), config.site.clone(), config.seed, known, &mut effects);
+        let now = clock.now();
+        let sessions = disk::sessions(now, config);
+        let router = Router::new(now, config.site.clone(), sessions, config.seed, known, &mut effects);
         let hub = Rc::new(Hub {
             clock,
             router: RefCell::new(router),
@@ -131,6 +135,11 @@
             match effect {
                 Effect::Begin(order) => self.begin(order),
                 Effect::Abandon(id) => drop(self.exchanges.borrow_mut().remove(&id)),
+                Effect::Token(client, token) => {
+                    if let Some(slot) = self.clients.borrow().get(&client) {
+                        slot.token(token);
+                    }
+                }
                 Effect::Answer(client, answer) => self.answer(client, answer),
                 Effect::CloseIdle(addr) => self.pool.close(addr),
                 Effect::Fetch => self.fetch.notify(),
@@ -259,10 +268,12 @@
         hub.spawn(tidy(Rc::clone(&hub))),
     ];
     hub.follow(config.discovery, from);
+    let mut own = config.own.clone();
     async_io::block_on(executor.run(async {
         let mut commands = std::pin::pin!(commands);
         while let Some(Command::Reload(again)) = commands.next().await {
             reload(&hub, &config, &again);
+            own = again.own;
         }
         stop_in_order(&hub, listening, limit).await;
     }));
@@ -270,6 +281,7 @@
     // Without an executor the hub spawns nothing more; dropping the last handle ends every task.
     hub.executor.borrow_mut().take();
     hub.watches.borrow_mut().clear();
+    disk::keep(&hub, &own, &config.name);
     Ok(())
 }
 
@@ -278,6 +290,9 @@
     for key in started.needs_restart(again) {
         log::warn!("configuration: {key} has changed, which needs a restart; the old value stays");
     }
+    let plan = again.own.sessions.as_ref().map(|s| s.plan.clone());
+    let bytes = started.limits.book_bytes();
+    hub.router.borrow_mut().sessions().change(hub.clock.now(), plan, bytes, started.seed);
     match again.discovery == hub.discovery.get() {
         true => log::info!("configuration: read again, discovery stays at {}", again.discovery),
         false => {
@@ -386,6 +401,11 @@
         if told.elapsed() >= TELL_EVERY {
             told = Instant::now();
             let tally = hub.router.borrow_mut().tally();
+            let counts = hub.router.borrow_mut().session_counts();
+            // Where floors are not ours to make, the counts say nothing that the tally doesn't.
+            if hub.router.borrow_mut().sessions().planned() && counts != Counts::default() {
+                log::info!("{counts}");
+            }
             if tally != Tally::default() {
                 let (clients, idle, left) = (hub.clients.borrow().len(), hub.pool.len(), hub.budget.left());
                 let open = hub.exchanges.borrow().len();
--- a/crates/router/tests/codec.rs
+++ b/crates/router/tests/codec.rs
@@ -313,9 +313,18 @@
         (Verb::Select, &b"7f3a9c21e0b4d655"[..], &b"basket"[..], &b"acme"[..])
     );
     assert_eq!((read.patience_ms, read.cluster, read.after), (480, 2, Some(1_767_225_600_123)));
-    let (before, after) = read.around_patience();
-    let again = [before, b"17", after].concat();
-    assert_eq!(String::from_utf8(again).unwrap(), READ.replace("d=480", "d=17"));
+    let again = |s: &Statement, floor| String::from_utf8(s.parts("17", floor).concat()).unwrap();
+    assert_eq!(again(&read, None), READ.replace("d=480", "d=17"));
+    let told = READ.replace("d=480", "d=17").replace("after=1767225600123", "after=99");
+    assert_eq!(again(&read, Some("99")), told, "a floor takes the place of the client's");
+    let bare = READ.replace(",after=1767225600123", "");
+    let told = bare.replace("d=480", "d=17,after=99");
+    assert_eq!(again(&Statement::parse(bare.into()).unwrap(), Some("99")), told);
+    let twice = READ.replace("d=480", "after=7,d=480");
+    let floors = Statement::parse(twice.clone().into()).unwrap();
+    assert_eq!(floors.after, Some(1_767_225_600_123), "the later one counts");
+    let told = twice.replace("after=7,d=480", "after=99,d=17").replace("after=1767225600123", "after=99");
+    assert_eq!(again(&floors, Some("99")), told);
     let write = Statement::parse(WRITE.into()).unwrap();
     assert_eq!((write.verb, write.after, write.repeat), (Verb::Insert, None, false));
     let patient = Statement::parse(READ.replace("d=480", "d=18446744073709551615").into()).unwrap();
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -2,8 +2,10 @@
 #![allow(dead_code)]
 
 use basalthill_config::settings::{read, Site};
+use basalthill_policy::api::Time;
 use basalthill_router::protocol::discovery::HostList;
 use basalthill_router::protocol::statement::Statement;
+use basalthill_session::{Sessions, Tokens};
 use basalthill_standin::discovery::list;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -27,6 +29,11 @@
    "warmWithin": 15000000000},
  "reporting": {"columns": ["x0", "x1"], "via": "answers"}, "prices": {"waste": 0.03}}"#;
 
+/// Sessions as the platform means them.
+pub fn sessions() -> Sessions {
+    Sessions::new(Time::ms(1), Tokens::Carried, None, 0, 0)
+}
+
 pub fn site() -> Site {
     read(SETTINGS.as_bytes()).expect("sound settings")
 }
--- a/crates/router/tests/routing.rs
+++ b/crates/router/tests/routing.rs
@@ -5,7 +5,7 @@
 use basalthill_policy::api::{MemberId, RequestId, Status, Time};
 use basalthill_router::protocol::host::{Ending, Row, Telling};
 use basalthill_router::routing::{Answer, ClientId, Effect, Ended, ExchangeId, Input, Query, Router};
-use common::{hosts, site, statement};
+use common::{hosts, sessions, site, statement};
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -34,7 +34,7 @@
     fn new() -> Driven {
         let known = hosts(1, true, &[("s-1", PRIMARY, "active", "source"), ("s-2", COPY, "active", "copy")]);
         let mut out = Vec::new();
-        let router = Router::new(START, site(), 7, Some(known), &mut out);
+        let router = Router::new(START, site(), sessions(), 7, Some(known), &mut out);
         let mut d = Driven { router, now: START };
         for (id, addr, query) in begun(&out) {
             assert!(matches!(query, Query::Own("SHOW vitals")), "{query:?}");
@@ -113,7 +113,7 @@
     let mut d = Driven::new();
     let (id, addr, query) = d.attempt(1, "write");
     assert_eq!(addr, PRIMARY.parse().unwrap());
-    let Query::Statement(statement, patience) = query else { panic!("{query:?}") };
+    let Query::Statement(statement, patience, None) = query else { panic!("{query:?}") };
     assert!(statement.text().starts_with(b"INSERT") && (460..480).contains(&patience), "{patience}");
     let now = d.now;
     let effects = d.end(id, Ended::Answered(Ending::Row(row(b"x")), told(true, 0, now)));
@@ -280,7 +280,7 @@
 fn a_probe_is_told_once_and_ends_at_its_limit() {
     let known = hosts(1, true, &[("s-1", PRIMARY, "active", "source")]);
     let mut out = Vec::new();
-    let router = Router::new(START, site(), 7, Some(known), &mut out);
+    let router = Router::new(START, site(), sessions(), 7, Some(known), &mut out);
     let mut d = Driven { router, now: START };
     let [(probe, _, Query::Own("SHOW vitals"))] = begun(&out)[..] else { panic!("{out:?}") };
     assert_eq!(d.router.books().1, 1);
--- a/crates/sim/src/main.rs
+++ b/crates/sim/src/main.rs
@@ -1,6 +1,11 @@
 //! Hosts one decision module per router on the bench's wire; each is kept apart from the others.
 
+use basalthill_config::settings::Site;
+use basalthill_policy::api::*;
 use basalthill_policy::Policy;
+use basalthill_session::sessions::Bond;
+use basalthill_session::token::Owner;
+use basalthill_session::{Asked, Sessions, Tokens};
 use basalthill_sim::wire::{reply, Decoder, Incoming};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
@@ -16,29 +21,111 @@
     }
 }
 
+/// One router: its decisions, and what it knows of its sessions.
+struct Router {
+    policy: Policy,
+    sessions: Sessions,
+    site: Site,
+    /// Writes of sessions that are out, where the router remembers them.
+    writes: BTreeMap<RequestId, (GroupId, Bond)>,
+}
+
+/// Most memory that a router's book of sessions may come to take.
+const BOOK: usize = 1 << 20;
+
+impl Router {
+    fn new(now: Time, seed: u64, site: Site) -> Router {
+        let policy = Policy::new(site.settings.clone(), seed);
+        // No plan of our own: the platform's meaning holds, and without memory the book is never looked at.
+        let bytes = if site.tokens == Tokens::Remembered { BOOK } else { 0 };
+        let sessions = Sessions::new(now, site.tokens, None, bytes, seed);
+        Router { policy, sessions, site, writes: BTreeMap::new() }
+    }
+
+    /// A request with the floor that its session gives it.
+    fn request(
+        &mut self,
+        now: Time,
+        request: Request,
+        key: Option<SessionKey>,
+        token: Option<Time>,
+    ) -> Event {
+        let class = self.site.settings.classes.get(usize::from(request.class.0));
+        let (Some(consistency), Some(key)) = (class.map(|c| c.consistency), key) else {
+            return Event::Request(request);
+        };
+        let (owner, group) = (Owner { name: &[], key }, request.group);
+        let asked = Asked { owner, group, after: token.map(|t| now.minus(t)), tokens: &[], accepted: now };
+        let floor = match consistency {
+            Consistency::Write if self.site.tokens == Tokens::Remembered => {
+                let bond = self.sessions.begin(now, &asked, true);
+                self.writes.insert(request.id, (group, bond));
+                Time(0)
+            }
+            Consistency::Session => {
+                let bond = self.sessions.begin(now, &asked, false);
+                self.sessions.floor(now, &asked, &bond).at
+            }
+            _ => Time(0),
+        };
+        Event::Request(Request { floor, ..request })
+    }
+
+    fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        match &event {
+            Event::Outcome(o) => {
+                if let Some((group, bond)) =
+                    self.writes.get_mut(&o.request).filter(|_| o.status == Status::Ok)
+                {
+                    let owner = Owner { name: &[], key: bond.key };
+                    if o.standing.position.is_some() {
+                        self.sessions.served(now, owner, *group, bond, o.standing.position);
+                    }
+                }
+                if o.ended {
+                    self.writes.remove(&o.request);
+                }
+            }
+            Event::Lapsed(id) => drop(self.writes.remove(id)),
+            _ => {}
+        }
+        let before = out.len();
+        self.policy.handle(now, event, out);
+        for action in &out[before..] {
+            if let Action::Refuse(id, _) | Action::Fail(id) = action {
+                self.writes.remove(id);
+            }
+        }
+    }
+}
+
 fn serve(mut input: impl Read, mut output: impl Write) -> Result<(), String> {
     let mut decoder = Decoder::default();
-    let mut routers: BTreeMap<u32, Policy> = BTreeMap::new();
+    let mut routers: BTreeMap<u32, Router> = BTreeMap::new();
     for number in 0u64.. {
         let Some(frame) = next_frame(&mut input).map_err(|e| format!("frame {number}: {e}"))? else { break };
         let (now, events) = decoder.frame(&frame).map_err(|e| format!("frame {number}: {e}"))?;
         let (mut actions, mut out) = (Vec::new(), Vec::new());
         for (inst, incoming) in events {
+            let missing = || format!("frame {number}: router {inst} was never started");
             match incoming {
-                Incoming::Start(seed, settings) => {
-                    routers.insert(inst, Policy::new(*settings, seed));
+                Incoming::Start(seed, site) => {
+                    routers.insert(inst, Router::new(now, seed, *site));
                 }
                 Incoming::Stop => {
                     routers.remove(&inst);
                     actions.retain(|(i, _)| *i != inst);
                 }
-                Incoming::Event(event) => {
-                    let router = routers.get_mut(&inst);
-                    let router = router.ok_or(format!("frame {number}: router {inst} was never started"))?;
+                Incoming::Request(request, key, token) => {
+                    let router = routers.get_mut(&inst).ok_or_else(missing)?;
+                    let event = router.request(now, request, key, token);
                     router.handle(now, event, &mut out);
-                    actions.extend(out.drain(..).map(|a| (inst, a)));
+                }
+                Incoming::Event(event) => {
+                    routers.get_mut(&inst).ok_or_else(missing)?.handle(now, event, &mut out)
                 }
             }
+            actions.extend(out.drain(..).map(|a| (inst, a)));
         }
         output.write_all(&reply(&actions)).and_then(|()| output.flush()).map_err(|e| e.to_string())?;
     }
--- a/crates/sim/src/wire.rs
+++ b/crates/sim/src/wire.rs
@@ -1,5 +1,6 @@
 //! Encoding and decoding of the bench's frames, and of the settings text. No decision lives here.
 
+use basalthill_config::settings::Site;
 use basalthill_policy::api::*;
 use std::collections::BTreeMap;
 
@@ -13,11 +14,13 @@
 /// One event as the wire has it, for one instance.
 #[derive(Debug)]
 pub enum Incoming {
-    /// An instance starts with a seed and settings.
-    Start(u64, Box<Settings>),
+    /// An instance starts with a seed and its deployment.
+    Start(u64, Box<Site>),
     /// An instance was killed.
     Stop,
-    /// Anything the decisions take.
+    /// A request, its session, and how long ago that last wrote if the request says so. The floor is not known yet.
+    Request(Request, Option<SessionKey>, Option<Time>),
+    /// Anything else that the decisions take.
     Event(Event),
 }
 
@@ -106,8 +109,8 @@
                 let seed = c.u64()?;
                 let text = slice(tail, c.u32()?, c.u32()?)?;
                 let site = basalthill_config::settings::read(text).map_err(|e| e.to_string())?;
-                self.zeros.insert(inst, (site.zero, site.columns));
-                return Ok(Some((inst, Incoming::Start(seed, Box::new(site.settings)))));
+                self.zeros.insert(inst, (site.zero, site.columns.clone()));
+                return Ok(Some((inst, Incoming::Start(seed, Box::new(site)))));
             }
             10 => return Ok(Some((inst, Incoming::Stop))),
             2 => {
@@ -129,16 +132,11 @@
                 let (id, class, tenant) = (RequestId(c.u64()?), ClassId(c.u16()?), TenantId(c.u16()?));
                 let (key, give_up, _effort) = (c.u64()?, Time(c.u64()?), c.u64()?);
                 let (group, token, marks) = (GroupId(c.f32()? as u32), c.f32()?, c.u8()?);
-                Event::Request(Request {
-                    id,
-                    class,
-                    tenant,
-                    session: (key != 0).then_some(SessionKey(key)),
-                    give_up,
-                    group,
-                    token: (token > 0.0).then_some(Time((token * 1e6) as u64)),
-                    repeat: marks & 2 != 0,
-                })
+                let (floor, lead, repeat) = (Time(0), Time(0), marks & 2 != 0);
+                let request = Request { id, class, tenant, give_up, group, floor, lead, repeat };
+                let session = (key != 0).then_some(SessionKey(key));
+                let token = (token > 0.0).then_some(Time((token * 1e6) as u64));
+                return Ok(Some((inst, Incoming::Request(request, session, token))));
             }
             4 => Event::Started(RequestId(c.u64()?), Attempt(c.u16()?)),
             5 => {
--- a/crates/sim/tests/golden.rs
+++ b/crates/sim/tests/golden.rs
@@ -65,16 +65,16 @@
     let frame = frame(0x1_f568_bf90, &records, &[]);
     assert_eq!(frame.len(), 0xb8);
     let (_, events) = Decoder::default().frame(&frame).unwrap();
-    let [(3, Incoming::Event(Event::Request(r))), (3, Incoming::Event(Event::Timer(0x4d))), last] =
+    let [(3, Incoming::Request(r, session, token)), (3, Incoming::Event(Event::Timer(0x4d))), last] =
         &events[..]
     else {
         panic!("{events:?}");
     };
     assert_eq!(r.id, RequestId(0x0003_1788_5d3a_91c4));
     assert_eq!((r.class, r.tenant, r.group), (ClassId(0), TenantId(0), GroupId(11)));
-    assert_eq!(r.session, Some(SessionKey(0x91f0_3b7c_55d2_0a64)));
+    assert_eq!(*session, Some(SessionKey(0x91f0_3b7c_55d2_0a64)));
     assert_eq!(r.give_up, Time(0x2_03b6_db90));
-    assert_eq!(r.token, Some(Time(412_500_000)));
+    assert_eq!(*token, Some(Time(412_500_000)));
     assert!(matches!(last, (5, Incoming::Event(Event::Lapsed(RequestId(0x0003_6c8c_0e6f_2b19))))));
 }
 
@@ -137,9 +137,12 @@
     let mut decoder = Decoder::default();
     let (_, events) = decoder.frame(&hello(SETTINGS)).unwrap();
     let [(3, Incoming::Start(7, set))] = &events[..] else { panic!("{events:?}") };
-    assert_eq!((set.classes[0].effect, set.classes[0].scope), (Effect::Keyed, KeyScope::Group));
-    assert_eq!(set.when_behind, WhenBehind::Refuses);
-    assert!(set.probe_positions && set.probe_roles);
+    assert_eq!(
+        (set.settings.classes[0].effect, set.settings.classes[0].scope),
+        (Effect::Keyed, KeyScope::Group)
+    );
+    assert_eq!(set.settings.when_behind, WhenBehind::Refuses);
+    assert!(set.settings.probe_positions && set.settings.probe_roles);
     let outcome = "05 00000003 0000000000000009 0001 00000004 0064 00000000011a49a0 01 0000638e
          02 40c6872b 3f800000 00000000 00000000";
     let (_, events) = decoder.frame(&frame(5, &[outcome], &[])).unwrap();
