--- /dev/null
+++ b/crates/config/tests/own.rs
@@ -0,0 +1,104 @@
+//! Our own settings: what they say, and how a fault is named.
+
+use basalthill_config::own::{load, parse, Own};
+use basalthill_policy::api::Time;
+use basalthill_session::sessions::{Handing, StandIn};
+use basalthill_session::token::KeyId;
+use std::path::Path;
+
+const KEY: &str = r#"key 2 "9f1c64b0a2d75e3381c6f0aa47b95d1e" signs=#true"#;
+
+fn fault(text: &str) -> String {
+    parse(text).unwrap_err().to_string()
+}
+
+#[test]
+fn the_file_that_comes_with_the_program_is_sound_and_holds_the_defaults() {
+    let shipped = load(&Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/basalthill.kdl")).unwrap();
+    let sessions = shipped.sessions.unwrap();
+    let keys = sessions.plan.keys.clone().unwrap();
+    assert_eq!((keys.signing.id, keys.verifying.len()), (KeyId(2), 1));
+    assert_eq!((sessions.plan.handing, sessions.plan.early), (Handing::Writes, false));
+    assert_eq!(sessions.snapshot, None);
+    let bare = parse("sessions floor=\"connection\"").unwrap().sessions.unwrap();
+    assert_eq!((bare.plan.keys, bare.plan.handing), (None, Handing::Never));
+    let same = |a: &Time, b: &Time| assert_eq!(a, b, "the file shows the defaults");
+    same(&bare.plan.skew, &sessions.plan.skew);
+    same(&bare.plan.settle, &sessions.plan.settle);
+    same(&bare.plan.lead, &sessions.plan.lead);
+    let defaults = parse(&format!("sessions floor=\"connection\" {{ tokens with=\"writes\" {{ {KEY} }} }}"));
+    assert_eq!(defaults.unwrap().sessions.unwrap().plan.keys.unwrap().max_age, keys.max_age);
+}
+
+#[test]
+fn every_key_is_read() {
+    let text = format!(
+        "sessions floor=\"arrival\" {{\n skew-ms 7\n settle-ms 0\n lead-ms 20\n tokens with=\"reads\" early=#true \
+         max-age-s=60 {{\n {KEY}\n key 7 \"{}\"\n }}\n snapshot \"/var/x\" max-age-s=9\n}}",
+        "ab".repeat(32)
+    );
+    let sessions = parse(&text).unwrap().sessions.unwrap();
+    let plan = &sessions.plan;
+    assert_eq!((plan.stand_in, plan.skew, plan.settle), (StandIn::Arrival, Time::ms(7), Time(0)));
+    assert_eq!((plan.lead, plan.handing, plan.early), (Time::ms(20), Handing::Reads, true));
+    let keys = plan.keys.as_ref().unwrap();
+    assert_eq!((keys.max_age, keys.verifying[0].id), (Time::ms(60_000), KeyId(7)));
+    let snapshot = sessions.snapshot.unwrap();
+    assert_eq!((snapshot.path.to_str(), snapshot.max_age), (Some("/var/x"), Time::ms(9000)));
+    for (word, stand_in) in [("nothing", StandIn::Nothing), ("router", StandIn::Router)] {
+        let sessions = parse(&format!("sessions floor={word:?}")).unwrap().sessions.unwrap();
+        assert_eq!(sessions.plan.stand_in, stand_in);
+    }
+    assert_eq!(parse("").unwrap(), Own::default());
+}
+
+#[test]
+fn a_fault_names_line_column_and_key() {
+    let within = |inner: &str| format!("// ours\nsessions floor=\"connection\" {{\n    {inner}\n}}");
+    let keys = |inner: &str| within(&format!("tokens with=\"writes\" {{\n        {inner}\n    }}"));
+    let cases = [
+        ("zones \"a\"".to_string(), "1:1: zones: is unknown"),
+        ("sessions".into(), "1:1: sessions.floor: is missing"),
+        ("sessions floor=3".into(), "1:10: sessions.floor: must be text"),
+        ("sessions floor=\"x\"".into(), "1:1: sessions.floor: \"x\" is none of"),
+        ("sessions flor=\"x\"".into(), "1:10: sessions.flor: is unknown"),
+        ("sessions floor=\"arrival\"\nsessions floor=\"arrival\"".into(), "2:1: sessions: is given twice"),
+        (within("skew-ms 5.5"), "3:13: sessions.skew-ms: must be a whole number from 0 to 60000"),
+        (within("skew-ms -1"), "3:13: sessions.skew-ms: must be a whole number"),
+        (within("lead-ms"), "3:5: sessions.lead-ms: takes 1 values, not 0"),
+        (within("lead-ms 5\n lead-ms 6"), "4:2: sessions.lead-ms: is given twice"),
+        (within("patience 5"), "3:5: sessions.patience: is unknown"),
+        (within("tokens"), "3:5: sessions.tokens.with: is missing"),
+        (within("tokens with=\"writes\""), "3:5: sessions.tokens: no key signs"),
+        (within("tokens with=\"writes\" early=1"), "3:26: sessions.tokens.early: must be #true or #false"),
+        (within("snapshot \"/x\" max-age-s=0"), "3:19: sessions.snapshot.max-age-s: must be a whole number"),
+        (keys("key 1 \"abc\" signs=#true"), "4:9: sessions.tokens.key: the secret must be 16 bytes or more"),
+        (keys("key 1 \"zz\""), "4:9: sessions.tokens.key: the secret must be"),
+        (keys("key 300 \"00\""), "4:13: sessions.tokens.key: must be a whole number from 0 to 255"),
+        (keys(&format!("{KEY}\n{KEY}")), "5:1: sessions.tokens.key: number 2 is given twice"),
+        (
+            keys(&format!("{KEY}\n{}", KEY.replace("key 2", "key 3"))),
+            "5:1: sessions.tokens.key: only one key signs",
+        ),
+        (keys("lock 1"), "4:9: sessions.tokens.lock: is unknown"),
+    ];
+    for (text, said) in cases {
+        let fault = fault(&text);
+        assert!(fault.starts_with(said), "{text}\n{fault}\n{said}");
+    }
+    let fault = fault("sessions floor=\"arrival\" {\n  skew-ms 5\n");
+    assert!(fault.split(':').count() >= 3 && !fault.contains('\n'), "{fault}");
+    let missing = load(Path::new("/nowhere/own.kdl")).unwrap_err();
+    assert!(missing.to_string().starts_with("/nowhere/own.kdl: "), "{missing}");
+}
+
+#[test]
+fn no_text_makes_it_panic() {
+    let whole =
+        std::fs::read_to_string(Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/basalthill.kdl"))
+            .unwrap();
+    for cut in (0..whole.len()).step_by(13) {
+        drop(parse(&whole[..cut]));
+        drop(parse(&format!("{}\u{fffd}{}", &whole[..cut], &whole[cut..])));
+    }
+}
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -498,7 +498,8 @@
                 best = Some((cost, *id));
             }
         }
-        // A replica that passes in a moment is waited for, where the request says so: the last resort is not due.
+        // A replica that passes in a moment is waited for, where the request says so: the last resort is not
+        // due.
         if soon && !some {
             return None;
         }
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -152,14 +152,20 @@
     }
 
     pub fn ask(&mut self, class: ClassId, token_ms: u64) -> RequestId {
-        self.request(class, token_ms, false)
+        let floor = if token_ms > 0 { self.now.minus(Time::ms(token_ms)) } else { Time(0) };
+        self.request(class, floor, false)
+    }
+
+    /// A request whose floor is given.
+    pub fn ask_at(&mut self, class: ClassId, floor: Time) -> RequestId {
+        self.request(class, floor, false)
     }
 
     pub fn ask_again(&mut self, class: ClassId, repeat: bool) -> RequestId {
-        self.request(class, 0, repeat)
+        self.request(class, Time(0), repeat)
     }
 
-    fn request(&mut self, class: ClassId, token_ms: u64, repeat: bool) -> RequestId {
+    fn request(&mut self, class: ClassId, floor: Time, repeat: bool) -> RequestId {
         self.next += 1;
         let id = RequestId(self.next);
         self.event(Event::Request(Request {
@@ -168,7 +174,7 @@
             tenant: TenantId(0),
             give_up: self.now.plus(Time::ms(if class == REPORT { 8000 } else { 1500 })),
             group: GroupId(0),
-            floor: if token_ms > 0 { self.now.minus(Time::ms(token_ms)) } else { Time(0) },
+            floor,
             lead: self.lead,
             repeat,
         }));
--- a/crates/policy/tests/failures.rs
+++ b/crates/policy/tests/failures.rs
@@ -76,6 +76,39 @@
     }
 }
 
+#[test]
+fn a_replica_that_reaches_a_reads_floor_in_a_moment_is_waited_for_where_the_request_says_so() {
+    // A floor at the arrival itself: no replica is estimated to be there yet.
+    let read = |when_behind, lead| {
+        let mut set = settings();
+        set.when_behind = when_behind;
+        let mut b = Bench::new(set);
+        b.teach([30, 30]);
+        b.lead = Time::ms(lead);
+        let id = b.ask_at(SESSION, b.now);
+        let first = b.went(id);
+        b.run(50);
+        (first, b.went(id))
+    };
+    let waits = WhenBehind::Waits(Time::ms(100));
+    for when_behind in [waits, WhenBehind::Refuses, WhenBehind::Answers] {
+        assert_eq!(read(when_behind, 0).0, Some(1), "without a lead the last resort is due");
+        assert_eq!(read(when_behind, 10).0, Some(1), "nobody gets there within the lead");
+    }
+    assert!(matches!(read(waits, 50).0, Some(2 | 3)), "it waits there for its own log");
+    let (first, then) = read(WhenBehind::Refuses, 50);
+    assert!(
+        first.is_none() && matches!(then, Some(2 | 3)),
+        "held until a replica passes: {first:?}, {then:?}"
+    );
+    let (first, then) = read(WhenBehind::Answers, 50);
+    assert_eq!(
+        (first, then),
+        (None, Some(1)),
+        "an estimate proves nothing here, and is not waited for twice"
+    );
+}
+
 #[test]
 fn an_aged_position_is_asked_again_before_a_read_is_turned_away() {
     // Found on jb-ffb-trips and kk-harvest: a replica that had caught up stayed out with its old record.
--- a/crates/router/src/protocol/statement.rs
+++ b/crates/router/src/protocol/statement.rs
@@ -162,8 +162,8 @@
     pub fn tokens(&self) -> impl Iterator<Item = &[u8]> {
         self.tokens.iter().map(|range| &self.text[range.clone()])
     }
-    /// The text in parts, with another figure for `d`, which is written anew for each attempt, and where a floor
-    /// is given, that floor in `after`.
+    /// The text in parts, with another figure for `d`, which is written anew for each attempt, and where a
+    /// floor is given, that floor in `after`.
     pub fn parts<'a>(&'a self, patience: &'a str, after: Option<&'a str>) -> Vec<&'a [u8]> {
         let mut cuts: Vec<(&Range<usize>, [&str; 2])> = vec![(&self.patience, [patience, ""])];
         match after {
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -89,8 +89,8 @@
 /// What is to be written for an exchange.
 #[derive(Clone, Debug)]
 pub enum Query {
-    /// A client's statement, with the time that the router will wait, in milliseconds, and where floors are ours
-    /// to tell, the floor of its read as a Unix time in milliseconds.
+    /// A client's statement, with the time that the router will wait, in milliseconds, and where floors are
+    /// ours to tell, the floor of its read as a Unix time in milliseconds.
     Statement(Rc<Statement>, u64, Option<u64>),
     /// A query of our own.
     Own(&'static str),
--- a/crates/router/src/transport/disk.rs
+++ b/crates/router/src/transport/disk.rs
@@ -41,8 +41,8 @@
     }
 }
 
-/// Reads a file and takes it away. One that stays there is not read: after a crash it would be read again, and
-/// what was written since would be missing.
+/// Reads a file and takes it away. One that stays there is not read: after a crash it would be read again,
+/// and what was written since would be missing.
 fn take(path: &Path) -> io::Result<Vec<u8>> {
     if path.metadata()?.len() > LONGEST {
         return Err(io::Error::other("is too long"));
--- a/crates/session/src/book.rs
+++ b/crates/session/src/book.rs
@@ -1,10 +1,10 @@
 //! Remembered floors in bounded memory.
 //!
 //! A table of buckets, each of one cache line: seven sessions, by a 32-bit print and a 32-bit floor in
-//! milliseconds, and a floor of the bucket itself. What has no room is folded into its bucket's floor, the lowest
-//! first, and so raises the floor of those forgotten there, and of no one else. A floor that all members have
-//! passed costs nothing, wherever it stands: forgetting the lowest first is what makes old entries free. Two
-//! sessions that share a print share the higher floor.
+//! milliseconds, and a floor of the bucket itself. What has no room is folded into its bucket's floor, the
+//! lowest first, and so raises the floor of those forgotten there, and of no one else. A floor that all
+//! members have passed costs nothing, wherever it stands: forgetting the lowest first is what makes old
+//! entries free. Two sessions that share a print share the higher floor.
 
 use basalthill_policy::api::{GroupId, SessionKey, Time};
 
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -3,8 +3,8 @@
 //!
 //! [`Sessions`] belongs to one router. [`floors`] holds positions by group, [`token`] carries them through a
 //! client's hands, [`book`] remembers them in bounded memory, [`snapshot`] carries the book over a restart.
-//! Positions are commit times: Unix times in nanoseconds, as hosts tell them. `docs/design/sessions.md` argues
-//! why each floor is sound.
+//! Positions are commit times: Unix times in nanoseconds, as hosts tell them. `docs/design/sessions.md`
+//! argues why each floor is sound.
 pub mod book;
 pub mod counts;
 pub mod floors;
--- a/crates/session/src/sessions.rs
+++ b/crates/session/src/sessions.rs
@@ -124,8 +124,8 @@
         Sessions { platform, plan, book, initial: now, unsettled: BTreeMap::new(), ahead, counts }
     }
 
-    /// Takes over settings that have been read again. The book stays, unless there was no plan before: what was
-    /// written until then is not in it, and it begins as at a start.
+    /// Takes over settings that have been read again. The book stays, unless there was no plan before: what
+    /// was written until then is not in it, and it begins as at a start.
     pub fn change(&mut self, now: Time, plan: Option<Plan>, bytes: usize, seed: u64) {
         if self.plan.is_none() && plan.is_some() {
             (self.book, self.initial) = (Book::new(now, bytes, seed), now);
@@ -176,8 +176,8 @@
         (floors, bad)
     }
 
-    /// What stands in for a session that brings nothing. A write of its earlier life whose end nobody told may
-    /// commit up to `settle` later than that life's end; the clip at a read's arrival keeps it sound.
+    /// What stands in for a session that brings nothing. A write of its earlier life whose end nobody told
+    /// may commit up to `settle` later than that life's end; the clip at a read's arrival keeps it sound.
     fn stand_in(&self, plan: &Plan, now: Time, accepted: Time) -> Time {
         let since = match plan.stand_in {
             StandIn::Nothing => return Time(0),
@@ -301,8 +301,8 @@
         }
     }
 
-    /// A host has told a position just now. One that lies too far ahead of this clock shows that the clocks are
-    /// further apart than configured; floors by this clock are raised from then on.
+    /// A host has told a position just now. One that lies too far ahead of this clock shows that the clocks
+    /// are further apart than configured; floors by this clock are raised from then on.
     pub fn told(&mut self, now: Time, position: Time) {
         let Some(plan) = &self.plan else { return };
         let ahead = position.since(now);
--- a/crates/session/src/snapshot.rs
+++ b/crates/session/src/snapshot.rs
@@ -1,10 +1,10 @@
-//! The book over a restart. What a stop in good order has written down is all that there is to know; after any
-//! other end there is no snapshot, and the start is the floor of all. So a snapshot counts once: whoever reads
-//! it removes it before the first request.
+//! The book over a restart. What a stop in good order has written down is all that there is to know; after
+//! any other end there is no snapshot, and the start is the floor of all. So a snapshot counts once: whoever
+//! reads it removes it before the first request.
 //!
-//! Format 1, all big-endian: magic, format (u16), length of the router's name (u16), name, when written (u64),
-//! floor of what the book can't know (u64), seed (u64), epoch (u64), buckets (u32), lines (u32), each line with
-//! its number (u32) and 16 words; last the SHA-256 of all before.
+//! Format 1, all big-endian: magic, format (u16), length of the router's name (u16), name, when written
+//! (u64), floor of what the book can't know (u64), seed (u64), epoch (u64), buckets (u32), lines (u32), each
+//! line with its number (u32) and 16 words; last the SHA-256 of all before.
 
 use crate::book::{Book, BUCKET};
 use crate::sessions::Sessions;
--- a/crates/session/src/token.rs
+++ b/crates/session/src/token.rs
@@ -1,9 +1,10 @@
 //! Tokens: a session's floors in a client's hands.
 //!
 //! Version 1, before base64url without padding: version (1 byte), key id (1), session tag (4), issued
-//! (6, Unix milliseconds), count of groups with the high bit set if a floor of the rest follows (1), that floor,
-//! then each group and its floor; last 16 bytes of HMAC-SHA-256 over all before and the session's name. Groups
-//! are varints; floors are zigzag varints of milliseconds from `issued`, rounded up. What it says is no secret.
+//! (6, Unix milliseconds), count of groups with the high bit set if a floor of the rest follows (1), that
+//! floor, then each group and its floor; last 16 bytes of HMAC-SHA-256 over all before and the session's
+//! name. Groups are varints; floors are zigzag varints of milliseconds from `issued`, rounded up. What it
+//! says is no secret.
 
 use crate::floors::{Floors, GROUPS};
 use basalthill_policy::api::{GroupId, SessionKey, Time};
--- a/crates/session/tests/model.rs
+++ b/crates/session/tests/model.rs
@@ -44,11 +44,12 @@
 
 fn steps() -> impl Strategy<Value = Vec<Step>> {
     let (session, group) = (0..SESSIONS as u8, 0..12u8);
+    let commits = prop::option::weighted(0.8, 0..(SETTLE.0 / 1_000_000) as u16);
+    let write = (session.clone(), group.clone(), 0..8u8, commits);
     let step = prop_oneof![
         3 => (0..1500u16).prop_map(Step::Pass),
         2 => (session.clone(), 0..ROUTERS as u8).prop_map(|(s, r)| Step::Move(s, r)),
-        3 => (session.clone(), group.clone(), 0..8u8, prop::option::weighted(0.8, 0..SETTLE.0 as u32 / 1_000_000))
-            .prop_map(|(session, group, end, at)| Step::Write { session, group, end, commits: at.map(|n| n as u16) }),
+        3 => write.prop_map(|(session, group, end, commits)| Step::Write { session, group, end, commits }),
         4 => (session, group).prop_map(|(s, g)| Step::Read(s, g)),
         1 => (0..ROUTERS as u8).prop_map(Step::Kill),
     ];
@@ -134,7 +135,8 @@
                         self.commits.entry((s, g)).or_default().extend(at);
                     }
                     2 => {
-                        // Its router dies with it, and the session goes on elsewhere, or there once it is back.
+                        // Its router dies with it, and the session goes on elsewhere, or there once it is
+                        // back.
                         let at = commits.map(|ms| stamp(self.now, ms));
                         self.commits.entry((s, g)).or_default().extend(at);
                         let router = self.place(s).0;
--- a/crates/session/tests/token.rs
+++ b/crates/session/tests/token.rs
@@ -114,7 +114,8 @@
     let strictest = NOW.plus(SKEW);
     assert_eq!(floor(ANNE, None, &[sound.as_bytes()]).0, NOW.minus(Time::ms(900)));
     let flipped = sound.replace(&sound[40..], "AA");
-    let cases: [(String, fn(&Counts) -> u64); 6] = [
+    type Count = fn(&Counts) -> u64;
+    let cases: [(String, Count); 6] = [
         ("%".into(), |c| c.malformed),
         (flipped, |c| c.forged),
         (made(&keys(9, &[]), NOW, ANNE), |c| c.unknown_key),
--- a/crates/sim/src/wire.rs
+++ b/crates/sim/src/wire.rs
@@ -18,7 +18,8 @@
     Start(u64, Box<Site>),
     /// An instance was killed.
     Stop,
-    /// A request, its session, and how long ago that last wrote if the request says so. The floor is not known yet.
+    /// A request, its session, and how long ago that last wrote if the request says so. The floor is not
+    /// known yet.
     Request(Request, Option<SessionKey>, Option<Time>),
     /// Anything else that the decisions take.
     Event(Event),
