--- a/crates/config/tests/own.rs
+++ b/crates/config/tests/own.rs
@@ -33,8 +33,9 @@
 #[test]
 fn every_key_is_read() {
     let text = format!(
-        "sessions floor=\"arrival\" {{\n skew-ms 7\n settle-ms 0\n lead-ms 20\n tokens with=\"reads\" early=#true \
-         max-age-s=60 {{\n {KEY}\n key 7 \"{}\"\n }}\n snapshot \"/var/x\" max-age-s=9\n}}",
+        "sessions floor=\"arrival\" {{\n skew-ms 7\n settle-ms 0\n lead-ms 20\n \
+         tokens with=\"reads\" early=#true max-age-s=60 {{\n {KEY}\n key 7 \"{}\"\n }}\n \
+         snapshot \"/var/x\" max-age-s=9\n}}",
         "ab".repeat(32)
     );
     let sessions = parse(&text).unwrap().sessions.unwrap();
--- /dev/null
+++ b/crates/lab/src/results.rs
@@ -0,0 +1,82 @@
+//! Tables and charts.
+
+use plotters::prelude::*;
+use std::error::Error;
+use std::fs;
+use std::ops::Range;
+use std::path::Path;
+
+/// A row of words for each row of a table.
+pub struct Table {
+    /// The heads of its columns.
+    pub heads: Vec<&'static str>,
+    /// Its rows.
+    pub rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    /// As Markdown.
+    pub fn text(&self) -> String {
+        let line = |cells: Vec<&str>| format!("| {} |\n", cells.join(" | "));
+        let mut out = line(self.heads.clone()) + &line(vec!["---"; self.heads.len()]);
+        self.rows.iter().for_each(|row| out += &line(row.iter().map(String::as_str).collect()));
+        out
+    }
+}
+
+/// Writes a table with a few words above it.
+pub fn table(folder: &Path, name: &str, words: &str, table: &Table) -> Result<(), Box<dyn Error>> {
+    fs::create_dir_all(folder)?;
+    Ok(fs::write(folder.join(format!("{name}.md")), format!("{words}\n\n{}", table.text()))?)
+}
+
+/// A line of a chart.
+pub struct Line {
+    /// What it shows.
+    pub name: String,
+    /// Its points.
+    pub points: Vec<(f64, f64)>,
+}
+
+/// What a chart's axes show.
+pub struct Axes {
+    /// Above the chart.
+    pub title: &'static str,
+    /// Below it.
+    pub x: &'static str,
+    /// Beside it.
+    pub y: &'static str,
+    /// The span of y.
+    pub range: Range<f64>,
+}
+
+/// Draws lines over a logarithmic x.
+pub fn chart(folder: &Path, name: &str, axes: &Axes, lines: &[Line]) -> Result<(), Box<dyn Error>> {
+    fs::create_dir_all(folder)?;
+    let path = folder.join(format!("{name}.svg"));
+    let root = SVGBackend::new(&path, (760, 440)).into_drawing_area();
+    root.fill(&WHITE)?;
+    let xs = || lines.iter().flat_map(|l| l.points.iter().map(|p| p.0));
+    let (from, to) = (xs().fold(f64::MAX, f64::min).max(1e-3), xs().fold(f64::MIN, f64::max));
+    let mut chart = ChartBuilder::on(&root)
+        .caption(axes.title, ("sans-serif", 18))
+        .margin(12)
+        .x_label_area_size(40)
+        .y_label_area_size(52)
+        .build_cartesian_2d((from..to * 1.05).log_scale(), axes.range.clone())?;
+    chart.configure_mesh().x_desc(axes.x).y_desc(axes.y).light_line_style(WHITE.mix(0.0)).draw()?;
+    for (n, line) in lines.iter().enumerate() {
+        let color = Palette99::pick(n).to_rgba();
+        chart
+            .draw_series(LineSeries::new(line.points.iter().copied(), color.stroke_width(2)))?
+            .label(&line.name)
+            .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 18, y)], color.stroke_width(2)));
+    }
+    chart
+        .configure_series_labels()
+        .position(SeriesLabelPosition::LowerRight)
+        .background_style(WHITE.mix(0.8))
+        .border_style(BLACK.mix(0.3))
+        .draw()?;
+    Ok(root.present()?)
+}
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -7,28 +7,9 @@
 use basalthill_router::protocol::statement::Statement;
 use basalthill_session::{Sessions, Tokens};
 use basalthill_standin::discovery::list;
+pub use basalthill_standin::SETTINGS;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-/// A deployment with a bounded, a session, a fresh, an any and a write class.
-pub const SETTINGS: &str = r#"{"balancers": 2, "me": 1, "zone": 0, "zones": ["a"], "quantum": 5000000,
- "discovery": "automatic", "weights": "rough", "overShareWorth": 0.2,
- "profiles": [
-  {"name": "view", "aim": 500000000, "deadline": 1500000000, "effect": "idempotent", "credit": 1.0},
-  {"name": "own", "aim": 400000000, "deadline": 1000000000, "effect": "idempotent", "credit": 1.0},
-  {"name": "status", "aim": 400000000, "deadline": 1000000000, "effect": "idempotent", "credit": 2.0},
-  {"name": "report", "aim": 3000000000, "deadline": 6000000000, "effect": "idempotent", "credit": 4.0},
-  {"name": "write", "aim": 400000000, "deadline": 3000000000, "effect": "at_most_once", "credit": 4.0,
-   "lateWorth": 0.3}],
- "parties": [{"name": "acme", "quotaPerS": 100.0}],
- "familyInfo": {"consistency": ["lag_bound", "causal", "strong", "eventual", "mutate"],
-   "lagAllowed": [3000000000, 0, 0, 0, 0], "patience": 100000000, "positions": true,
-   "roleListed": "trailing", "tokenMode": "brought", "whenBehind": "await", "zero": 0},
- "bounds": {"cancel": true, "maxAttempts": 3, "maxRetryAfter": 1000000000, "parallelTries": true,
-   "probes": true, "retryAfter": true, "connIdle": 15000000000, "connectTimeout": 250000000},
- "rules": {"coldFrom": 0.19, "drainGrace": 1000000000, "fall": 1500000000, "fallMultiple": 3.0,
-   "warmWithin": 15000000000},
- "reporting": {"columns": ["x0", "x1"], "via": "answers"}, "prices": {"waste": 0.03}}"#;
-
 /// Sessions as the platform means them.
 pub fn sessions() -> Sessions {
     Sessions::new(Time::ms(1), Tokens::Carried, None, 0, 0)
--- a/crates/router/tests/sessions.rs
+++ b/crates/router/tests/sessions.rs
@@ -1,84 +1,26 @@
 //! Sessions through real router processes that are killed and restarted, against a group with an oracle.
 
-mod common;
-
 use basalthill_standin::client::{Answer, Client};
-use basalthill_standin::discovery::{list, Discovery};
-use basalthill_standin::fleet::{play, Load, Router, Start, Tally, Way};
-use basalthill_standin::group::{Behind, Group, Manner};
-use common::SETTINGS;
-use std::path::PathBuf;
-use std::sync::atomic::{AtomicU32, Ordering};
+use basalthill_standin::fleet::{file, Load, Router, Way, World};
+use basalthill_standin::group::{Behind, Manner};
+use std::path::Path;
 use std::time::Duration;
 
 const KEYS: &str = "key 1 \"00112233445566778899aabbccddeeff\"";
 
-struct World {
-    group: Group,
-    discovery: Discovery,
-    routers: Vec<Router>,
-    settings: Option<PathBuf>,
-}
-
-fn file(name: &str, text: &str) -> PathBuf {
-    static COUNT: AtomicU32 = AtomicU32::new(0);
-    let n = COUNT.fetch_add(1, Ordering::Relaxed);
-    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{n}-{name}", std::process::id()));
-    std::fs::write(&path, text).unwrap();
-    path
-}
-
-fn told(group: &Group, version: u64, full: bool) -> String {
-    let members = group.list();
-    let members: Vec<_> = members.iter().map(|m| (m.0.as_str(), m.1, m.2, m.3, m.4)).collect();
-    list(version, full, &members)
+fn folder() -> &'static Path {
+    Path::new(env!("CARGO_TARGET_TMPDIR"))
 }
 
 /// A group of three and so many routers with our own settings, if any.
 fn world(routers: usize, manner: Manner, own: Option<&str>) -> World {
-    let group = Group::start(2, 3, manner.clone()).unwrap();
-    let discovery = Discovery::start(told(&group, 1, true)).unwrap();
-    let behind = match manner.behind {
-        Behind::Answers => "none",
-        Behind::Refuses => "bounce",
-        Behind::Waits(_) => "await",
-    };
-    let settings = SETTINGS.replace("\"await\"", &format!("{behind:?}"));
-    let settings = settings.replace("\"balancers\": 2", &format!("\"balancers\": {routers}"));
-    let text = format!(r#"{{"seed":"1","known":{},"settings":{settings}}}"#, told(&group, 1, true));
-    let (config, settings) = (file("router.json", &text), own.map(|text| file("own.kdl", text)));
-    let start = Start {
-        program: env!("CARGO_BIN_EXE_basalthill").into(),
-        config,
-        settings: settings.clone(),
-        discovery: discovery.addr,
-    };
-    let router = |n| Router::start(&format!("n{n}"), start.clone()).unwrap();
-    World { group, discovery, routers: (0..routers).map(router).collect(), settings }
+    World::start(Path::new(env!("CARGO_BIN_EXE_basalthill")), folder(), routers, manner, own).unwrap()
 }
 
 fn load(way: Way, reads: usize) -> Load {
     Load { way, sessions: 24, reads, status_every: 8, rest_us: 8000, seed: 16 }
 }
 
-impl World {
-    /// Plays a load while routers are killed in turn, and the group's lag goes up and down where told.
-    fn play(&mut self, load: &Load, kills: usize, lags: &[u64]) -> Tally {
-        let addrs: Vec<_> = self.routers.iter().map(|r| r.addr).collect();
-        let (mut killed, group, routers) = (0, self.group.clone(), &mut self.routers);
-        play(&self.group, &addrs, load, |done| {
-            if killed < kills && done > killed as f64 / kills as f64 {
-                let n = killed % routers.len();
-                killed += 1;
-                routers[n].kill_and_restart().unwrap();
-            }
-            if let Some(lag) = lags.get((done * lags.len() as f64) as usize) {
-                group.change(|m| m.lag_ms = *lag);
-            }
-        })
-    }
-}
-
 fn own(floor: &str, more: &str) -> String {
     format!("sessions floor={floor:?} {{\n{more}\n}}")
 }
@@ -97,11 +39,7 @@
     for (own, way) in ways {
         let mut world = world(3, Manner::default(), Some(&own));
         let tally = world.play(&load(way, 2500), 6, &[12, 3, 12, 40, 12]);
-        println!(
-            "{way:?}: {} reads, {} stale, replica share {:.3}, {} writes, {} unknown, {} not served, p50 {} us, p99 {} us",
-            tally.reads, tally.stale, tally.replica_share(), tally.writes, tally.unknown, tally.not_served,
-            tally.quantile_us(0.5), tally.quantile_us(0.99)
-        );
+        println!("{way:?}: {tally}");
         assert_eq!(tally.stale, 0, "{way:?}: {:?}", tally.first_stale);
         assert!(
             tally.reads >= 2500 && tally.unknown > 0,
@@ -189,7 +127,7 @@
 
 #[test]
 fn a_restart_in_good_order_and_a_crash_with_and_without_a_snapshot() {
-    let path = file("book", "");
+    let path = file(folder(), "book", "").unwrap();
     std::fs::remove_file(&path).unwrap();
     let own = own("router", &format!("snapshot {:?}\nlead-ms 0\nsettle-ms 0", path.to_str().unwrap()));
     // Replicas a second behind: only sessions that need no more than they have may read there.
@@ -291,7 +229,7 @@
     world.group.committed("bert").unwrap();
     world.group.hand_over(1);
     world.group.change(|m| m.write_takes[1] = Duration::ZERO);
-    world.discovery.tell(told(&world.group, 2, true));
+    world.tell(2);
     let mut other = Client::connect(world.routers[1].addr).unwrap();
     // Whoever the router takes for the primary by now.
     assert_eq!(served(other.ask(&read(1, "anne", &before))).0, "7");
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -19,6 +19,8 @@
 pub struct Client {
     /// Its socket.
     pub stream: TcpStream,
+    /// Bytes sent and received.
+    pub bytes: u64,
     /// The newest `session_token` that it was told.
     pub token: Option<String>,
 }
@@ -49,7 +51,7 @@
         let stream = TcpStream::connect(addr)?;
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(PATIENCE))?;
-        Ok(Client { stream, token: None })
+        Ok(Client { stream, bytes: 0, token: None })
     }
 
     /// Reads up to the first ReadyForQuery.
@@ -65,6 +67,7 @@
         let len = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize;
         let mut body = vec![0; len.saturating_sub(4)];
         self.stream.read_exact(&mut body)?;
+        self.bytes += (head.len() + body.len()) as u64;
         if let Some(token) = body.strip_prefix(b"session_token\0").filter(|_| head[0] == b'S') {
             let token = token.strip_suffix(b"\0").unwrap_or(token);
             self.token = Some(String::from_utf8_lossy(token).into_owned());
@@ -80,7 +83,9 @@
 
     /// Sends a query.
     pub fn send(&mut self, text: &str) -> io::Result<()> {
-        self.stream.write_all(&query(text))
+        let bytes = query(text);
+        self.bytes += bytes.len() as u64;
+        self.stream.write_all(&bytes)
     }
 
     /// Awaits an answer, to its ReadyForQuery.
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -2,12 +2,13 @@
 //! answer held against the group's oracle.
 
 use crate::client::{Answer, Client};
-use crate::group::Group;
+use crate::discovery::{list, Discovery};
+use crate::group::{Behind, Group, Manner};
 use std::io::{self, BufRead, BufReader, Read};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -112,6 +113,14 @@
         self.log.wait(|l| l.iter().find(|line| line.contains(part)).cloned())
     }
 
+    /// Processor time that its process has taken; the system counts in hundredths of a second.
+    pub fn cpu(&self) -> Option<Duration> {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).ok()?;
+        let fields = stat.rsplit_once(')')?.1.split_whitespace();
+        let ticks: u64 = fields.skip(11).take(2).filter_map(|n| n.parse::<u64>().ok()).sum();
+        Some(Duration::from_millis(ticks * 10))
+    }
+
     /// Its process's memory that is resident, in KiB.
     pub fn resident_kib(&self) -> Option<u64> {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
@@ -126,6 +135,87 @@
     }
 }
 
+/// A file of its own in a folder, with some text.
+pub fn file(folder: &Path, name: &str, text: &str) -> io::Result<PathBuf> {
+    static COUNT: AtomicU32 = AtomicU32::new(0);
+    let n = COUNT.fetch_add(1, Ordering::Relaxed);
+    let path = folder.join(format!("{}-{n}-{name}", std::process::id()));
+    std::fs::write(&path, text)?;
+    Ok(path)
+}
+
+/// A group of three members, discovery, and routers.
+pub struct World {
+    /// The group.
+    pub group: Group,
+    /// Discovery, which lists it.
+    pub discovery: Discovery,
+    /// The routers.
+    pub routers: Vec<Router>,
+    /// The file of our own settings, if they were given any.
+    pub settings: Option<PathBuf>,
+}
+
+impl World {
+    /// Starts so many routers, with our own settings if there are any; files are laid into a folder.
+    pub fn start(
+        program: &Path,
+        folder: &Path,
+        routers: usize,
+        manner: Manner,
+        own: Option<&str>,
+    ) -> io::Result<World> {
+        let behind = match manner.behind {
+            Behind::Answers => "none",
+            Behind::Refuses => "bounce",
+            Behind::Waits(_) => "await",
+        };
+        let group = Group::start(2, 3, manner)?;
+        let known = listed(&group, 1);
+        let discovery = Discovery::start(known.clone())?;
+        let settings = crate::SETTINGS.replace("\"await\"", &format!("{behind:?}"));
+        let settings = settings.replace("\"balancers\": 2", &format!("\"balancers\": {routers}"));
+        let text = format!(r#"{{"seed":"1","known":{known},"settings":{settings}}}"#);
+        let start = Start {
+            program: program.into(),
+            config: file(folder, "router.json", &text)?,
+            settings: own.map(|text| file(folder, "own.kdl", text)).transpose()?,
+            discovery: discovery.addr,
+        };
+        let router = |n| Router::start(&format!("n{n}"), start.clone());
+        let routers = (0..routers).map(router).collect::<io::Result<_>>()?;
+        Ok(World { group, discovery, routers, settings: start.settings })
+    }
+
+    /// Tells discovery who is who by now.
+    pub fn tell(&self, version: u64) {
+        self.discovery.tell(listed(&self.group, version));
+    }
+
+    /// Plays a load while routers are killed in turn, and the group's lag goes up and down where told.
+    pub fn play(&mut self, load: &Load, kills: usize, lags: &[u64]) -> Tally {
+        let addrs: Vec<_> = self.routers.iter().map(|r| r.addr).collect();
+        let (mut killed, group, routers) = (0, self.group.clone(), &mut self.routers);
+        play(&self.group, &addrs, load, |done| {
+            if killed < kills && done > killed as f64 / kills as f64 {
+                let n = killed % routers.len();
+                killed += 1;
+                routers[n].kill_and_restart().expect("a router that starts again");
+            }
+            if let Some(lag) = lags.get((done * lags.len() as f64) as usize) {
+                group.change(|m| m.lag_ms = *lag);
+            }
+        })
+    }
+}
+
+/// A group as discovery lists it, whole.
+fn listed(group: &Group, version: u64) -> String {
+    let members = group.list();
+    let members: Vec<_> = members.iter().map(|m| (m.0.as_str(), m.1, m.2, m.3, m.4)).collect();
+    list(version, true, &members)
+}
+
 /// How sessions come in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Way {
@@ -180,7 +270,8 @@
 }
 
 impl Tally {
-    fn add(&mut self, other: Tally) {
+    /// Adds another's figures.
+    pub fn add(&mut self, other: Tally) {
         self.reads += other.reads;
         self.stale += other.stale;
         self.session_reads += other.session_reads;
@@ -208,6 +299,15 @@
     }
 }
 
+impl std::fmt::Display for Tally {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Tally { reads, stale, writes, unknown, not_served, .. } = self;
+        write!(f, "reads={reads} stale={stale} replica_share={:.4}", self.replica_share())?;
+        write!(f, " p50_us={} p99_us={}", self.quantile_us(0.5), self.quantile_us(0.99))?;
+        write!(f, " writes={writes} unknown={unknown} not_served={not_served}")
+    }
+}
+
 /// A sequence of numbers that looks random and is the same for the same seed.
 pub struct Dice(pub u64);
 
