--- a/crates/config/src/own.rs
+++ b/crates/config/src/own.rs
@@ -155,12 +155,13 @@
         self.shape(node, "sessions", 0, &["floor"])?;
         let key = "sessions.floor";
         let stand_in = match self.word(node, key, "floor")? {
+            "platform" => StandIn::Platform,
             "nothing" => StandIn::Nothing,
             "router" => StandIn::Router,
             "connection" => StandIn::Connection,
             "arrival" => StandIn::Arrival,
             other => {
-                let problem = format!("{other:?} is none of nothing, router, connection, arrival");
+                let problem = format!("{other:?} is none of platform, nothing, router, connection, arrival");
                 return Err(self.fault(node, key, problem));
             }
         };
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -365,8 +365,7 @@
             lead: floor.lead,
             repeat: statement.repeat,
         };
-        let ours = self.sessions.planned() && floor.at > Time(0);
-        let floor_ms = ours.then(|| floor.at.0.div_ceil(1_000_000));
+        let floor_ms = floor.tell.then(|| floor.at.0.div_ceil(1_000_000));
         self.ids.insert(statement.id().into());
         let statement = Rc::from(statement);
         let (answered, served, attempts) = (false, false, Vec::new());
--- a/crates/session/src/sessions.rs
+++ b/crates/session/src/sessions.rs
@@ -23,7 +23,10 @@
 /// What stands in for a session that brings neither a token nor `after`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StandIn {
-    /// Nothing: a session that brings nothing has written nothing.
+    /// What the platform says, to the letter: a session that brings neither has written nothing, and `after`
+    /// alone goes on as it came.
+    Platform,
+    /// Nothing but what this router remembers of the session itself.
     Nothing,
     /// What this router remembers, and its start for all that it doesn't.
     Router,
@@ -85,6 +88,8 @@
     pub at: Time,
     /// How far ahead of a replica's position it may lie for that one to be waited for.
     pub lead: Time,
+    /// Hosts must be told of it: it is not what the client has told them itself.
+    pub tell: bool,
 }
 
 /// A request of a session, from its arrival to its end.
@@ -180,7 +185,7 @@
     /// may commit up to `settle` later than that life's end; the clip at a read's arrival keeps it sound.
     fn stand_in(&self, plan: &Plan, now: Time, accepted: Time) -> Time {
         let since = match plan.stand_in {
-            StandIn::Nothing => return Time(0),
+            StandIn::Platform | StandIn::Nothing => return Time(0),
             StandIn::Router if self.initial == Time(0) => return Time(0),
             StandIn::Router => self.initial,
             StandIn::Connection => accepted,
@@ -221,13 +226,16 @@
     pub fn floor(&mut self, now: Time, asked: &Asked, bond: &Bond) -> Floor {
         let after = asked.after.unwrap_or_default();
         let entry = || self.book.get(asked.group, bond.key);
+        let untold = |at| Floor { at, lead: Time(0), tell: false };
         let Some(plan) = &self.plan else {
-            let at = match self.platform {
+            return untold(match self.platform {
                 Tokens::Carried => after.min(now),
                 Tokens::Remembered => entry().own.unwrap_or_default().max(entry().forgotten),
-            };
-            return Floor { at, lead: Time(0) };
+            });
         };
+        if plan.stand_in == StandIn::Platform && asked.tokens.is_empty() {
+            return untold(after.min(now));
+        }
         // No commit before the read's arrival has a later position, so none needs more.
         let reach = now.plus(self.skew(plan));
         let told = asked.after.is_some() || !asked.tokens.is_empty();
@@ -237,7 +245,7 @@
             at = Time(u64::MAX);
         }
         self.counts.clipped += u64::from(at > reach);
-        Floor { at: at.min(reach), lead: plan.lead }
+        Floor { at: at.min(reach), lead: plan.lead, tell: at > Time(0) }
     }
 
     /// A token that covers a write which is about to be sent, whatever becomes of it or of this router.
