Client library: the core and its driver; both sides of the protocol stand on crates/wire

Need: gateways' authors each reinvent deadlines, retries, refusals and reconnects. Change: crates/client, a sans-I/O core (deadlines over all tries, effects, a retry budget, routers' breakers, reconnects spread over the slack, sessions' tokens) under a thin driver on async-io; framing moves to crates/wire.

--- /dev/null
+++ b/crates/client/src/request.rs
@@ -0,0 +1,298 @@
+//! What callers say and hear.
+
+use crate::session::Session;
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// How a client behaves.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The routers, all alike.
+    pub routers: Vec<SocketAddr>,
+    /// Connections to each router at most.
+    pub connections: usize,
+    /// What a first try earns, as a share of a further one.
+    pub retry_share: f64,
+    /// Most further tries in store.
+    pub retry_store: f64,
+    /// Reconnects spread over this at most, and over half of what the next request has left.
+    pub spread: Duration,
+    /// A connection that has asked nothing for this long is closed; routers close theirs after two seconds.
+    pub idle: Duration,
+    /// A connection ends after about this, so that load finds routers that have come back.
+    pub age: Duration,
+    /// A connection that is not up within this has failed.
+    pub connect_within: Duration,
+    /// The first cooldown of a router that has failed.
+    pub cooldown: Duration,
+    /// For random numbers: two clients of one seed draw alike.
+    pub seed: u64,
+}
+
+impl Config {
+    /// Defaults for these routers, with a seed of this process's own.
+    pub fn new(routers: impl Into<Vec<SocketAddr>>) -> Config {
+        let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+        Config {
+            routers: routers.into(),
+            connections: 32,
+            retry_share: 0.1,
+            retry_store: 10.0,
+            spread: Duration::from_secs(1),
+            idle: Duration::from_millis(1500),
+            age: Duration::from_secs(60),
+            connect_within: Duration::from_secs(1),
+            cooldown: Duration::from_secs(1),
+            seed: now.as_nanos() as u64 ^ (u64::from(std::process::id()) << 40),
+        }
+    }
+}
+
+/// What a repeat of a request does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// No harm.
+    Safe,
+    /// Its group drops repeats for this long from the first try that may have run.
+    Keyed(Duration),
+    /// It must never run twice.
+    Unsafe,
+}
+
+/// Which requests may spend the store of further tries.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Priority {
+    /// Down to three quarters.
+    Low,
+    /// Down to a half.
+    #[default]
+    Normal,
+    /// All of it.
+    High,
+}
+
+/// What is asked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum What {
+    /// The value under the key.
+    Read,
+    /// This value under the key.
+    Write(Vec<u8>),
+}
+
+/// One request.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Its class, as the routers' settings name it.
+    pub class: String,
+    /// Its group.
+    pub group: u32,
+    /// Its tenant; may be empty.
+    pub tenant: String,
+    /// Its key.
+    pub key: String,
+    /// What is asked.
+    pub what: What,
+    /// The caller hears by then, whatever happens.
+    pub deadline: Instant,
+    /// What a repeat does.
+    pub effect: Effect,
+    /// Whether it may spend the store of further tries.
+    pub priority: Priority,
+    /// Its session, whose tokens go with it.
+    pub session: Option<Session>,
+}
+
+impl Request {
+    /// A read, safe to repeat, with a deadline one second from now.
+    pub fn read(class: &str, group: u32, key: &str) -> Request {
+        Request {
+            class: class.into(),
+            group,
+            tenant: String::new(),
+            key: key.into(),
+            what: What::Read,
+            deadline: Instant::now() + Duration::from_secs(1),
+            effect: Effect::Safe,
+            priority: Priority::Normal,
+            session: None,
+        }
+    }
+
+    /// A write, never to run twice, with a deadline one second from now.
+    pub fn write(class: &str, group: u32, key: &str, value: &[u8]) -> Request {
+        let (what, effect) = (What::Write(value.into()), Effect::Unsafe);
+        Request { what, effect, ..Request::read(class, group, key) }
+    }
+
+    /// For a tenant.
+    pub fn tenant(self, tenant: &str) -> Request {
+        Request { tenant: tenant.into(), ..self }
+    }
+
+    /// With a deadline so long from now.
+    pub fn within(self, time: Duration) -> Request {
+        Request { deadline: Instant::now() + time, ..self }
+    }
+
+    /// With a deadline.
+    pub fn by(self, deadline: Instant) -> Request {
+        Request { deadline, ..self }
+    }
+
+    /// With another effect.
+    pub fn effect(self, effect: Effect) -> Request {
+        Request { effect, ..self }
+    }
+
+    /// With another priority.
+    pub fn priority(self, priority: Priority) -> Request {
+        Request { priority, ..self }
+    }
+
+    /// Of a session.
+    pub fn session(self, session: &Session) -> Request {
+        Request { session: Some(session.clone()), ..self }
+    }
+
+    /// What is wrong with it before anything is sent.
+    pub(crate) fn fault(&self) -> Option<Invalid> {
+        let plain = |text: &str| {
+            text.bytes().all(|b| b.is_ascii_graphic() && !matches!(b, b',' | b'=' | b'*' | b'/'))
+        };
+        let names = [("class", &self.class, false), ("tenant", &self.tenant, true)];
+        let bad = names.into_iter().find(|(_, text, empty)| !plain(text) || (text.is_empty() && !empty));
+        if let Some((name, text, _)) = bad {
+            return Some(Invalid::here(format!("{name} {text:?} can't stand in a comment")));
+        }
+        if self.key.bytes().any(|b| b == 0) {
+            return Some(Invalid::here("a key must not hold a zero byte".into()));
+        }
+        let long = matches!(&self.what, What::Write(value) if value.len() > LONGEST_VALUE);
+        long.then(|| Invalid::here(format!("a value has {LONGEST_VALUE} bytes at most")))
+    }
+}
+
+/// Longest value.
+pub const LONGEST_VALUE: usize = 64 * 1024;
+
+/// Why a request is none that routers or hosts take. It has not run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Invalid {
+    /// The SQLSTATE, 22023 if nothing was sent.
+    pub code: String,
+    /// For people.
+    pub message: String,
+}
+
+impl Invalid {
+    fn here(message: String) -> Invalid {
+        Invalid { code: "22023".into(), message }
+    }
+}
+
+impl fmt::Display for Invalid {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.code, self.message)
+    }
+}
+
+impl std::error::Error for Invalid {}
+
+/// How a request ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[must_use = "MayHaveRun obliges the caller to look"]
+pub enum End {
+    /// The value; none if it is null.
+    Served(Option<Vec<u8>>),
+    /// Turned away, and nothing has run. Worth asking again, not sooner than after this if it is told.
+    Refused(Option<Duration>),
+    /// Its time is over, or what is left is too short for an answer. Nothing has run, or a repeat does no harm.
+    Late,
+    /// It failed, and a repeat does no harm.
+    Failed,
+    /// Nobody knows whether it has run, or it may yet run. Never ask again without having looked.
+    MayHaveRun,
+    /// It is no request that can be served; nothing has run.
+    Invalid(Invalid),
+    /// The client has been stopped before anything was sent.
+    Stopped,
+}
+
+/// How much of a statement was handed to the system.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Written {
+    /// Nothing.
+    Nothing,
+    /// A part: no router takes it.
+    Part,
+    /// All of it.
+    All,
+}
+
+/// How one try ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TryEnd {
+    /// Served.
+    Served,
+    /// Refused, with the time to come back if it was told.
+    Refused(Option<Duration>),
+    /// Any other error, by its SQLSTATE.
+    Error(String),
+    /// The router said that it closes the connection and has read nothing more.
+    Farewell,
+    /// The connection ended.
+    Closed(Written),
+    /// What came can't be read.
+    Unreadable,
+    /// Given up: at the deadline, or by the caller.
+    GivenUp(Written),
+}
+
+impl TryEnd {
+    /// Whether it proves that nothing ran, and nothing will.
+    pub fn proves_unrun(&self) -> bool {
+        match self {
+            TryEnd::Refused(_) | TryEnd::Farewell => true,
+            TryEnd::Closed(written) | TryEnd::GivenUp(written) => *written != Written::All,
+            TryEnd::Error(code) => of_the_statement(code),
+            TryEnd::Served | TryEnd::Unreadable => false,
+        }
+    }
+
+    /// Whether a router may have seen it.
+    pub(crate) fn seen(&self) -> bool {
+        !matches!(self, TryEnd::Closed(w) | TryEnd::GivenUp(w) if *w != Written::All)
+            && *self != TryEnd::Farewell
+    }
+}
+
+/// Whether an error lies in the statement: it is as wrong anywhere else, and has not run.
+pub(crate) fn of_the_statement(code: &str) -> bool {
+    code.starts_with("08P") || code.starts_with("22") || code.starts_with("42") || code.starts_with("0A")
+}
+
+/// One try, for the record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TryRecord {
+    /// Its router.
+    pub router: SocketAddr,
+    /// When it began.
+    pub began: Instant,
+    /// How long it took.
+    pub took: Duration,
+    /// How it ended.
+    pub end: TryEnd,
+}
+
+/// How a request ended, and why.
+#[derive(Clone, Debug)]
+pub struct Report {
+    /// Its end.
+    pub end: End,
+    /// Its tries, in order.
+    pub tries: Vec<TryRecord>,
+    /// How long it took in all.
+    pub took: Duration,
+}
--- a/crates/router/src/protocol/client.rs
+++ b/crates/router/src/protocol/client.rs
@@ -2,7 +2,7 @@
 
 use basalthill_config::router::LONGEST_STATEMENT;
 
-use super::frames::{put, put_error, put_text, text, Inbox, ProtocolError, Severity, READY};
+use basalthill_wire::{put, put_error, put_text, text, Inbox, ProtocolError, Severity, READY};
 
 /// Longest message body taken.
 pub const LONGEST: usize = LONGEST_STATEMENT;
--- a/crates/router/src/protocol/discovery.rs
+++ b/crates/router/src/protocol/discovery.rs
@@ -1,6 +1,6 @@
 //! Discovery: HTTP/1.1 answers in chunks, and the lists of members inside.
 
-use super::frames::{Inbox, ProtocolError};
+use basalthill_wire::{Inbox, ProtocolError};
 use serde::Deserialize;
 
 /// Longest line of a list that is taken.
--- a/crates/router/src/protocol/host.rs
+++ b/crates/router/src/protocol/host.rs
@@ -1,6 +1,6 @@
 //! The side towards database hosts: bytes in, answers out.
 
-use super::frames::{error_code, put, put_text, text, Inbox, Part, ProtocolError};
+use basalthill_wire::{error_code, put, put_text, text, Inbox, Part, ProtocolError};
 
 /// Longest message body taken from a host: a value of 64 KiB and its heads.
 pub const LONGEST: usize = 80 * 1024;
--- a/crates/router/src/protocol/statement.rs
+++ b/crates/router/src/protocol/statement.rs
@@ -20,7 +20,7 @@
 }
 
 /// So many tokens of a statement are read; a client that holds more is told.
-pub const TOKENS: usize = 4;
+pub const TOKENS: usize = 8;
 
 /// A client's patience counts as no more than a day.
 const LONGEST_MS: u64 = 86_400_000;
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -3,11 +3,11 @@
 use super::budget::Permit;
 use super::{io, Hub};
 use crate::protocol::client::{self, ClientMessage, ClientSide};
-use crate::protocol::frames::READY;
 use crate::protocol::statement::Statement;
 use crate::routing::{Answer, ClientId, Input};
 use async_io::{Async, Timer};
 use basalthill_config::router::{CLIENT_FAULTS, CLIENT_QUIET, CLIENT_TAKES, CLIENT_WHOLE, LARGE};
+use basalthill_wire::READY;
 use futures_lite::future;
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
--- a/crates/session/tests/book.rs
+++ b/crates/session/tests/book.rs
@@ -137,6 +137,25 @@
     assert_eq!(floor(&mut small, at(20_000), 2), start);
 }
 
+#[test]
+fn a_session_whose_write_is_out_reads_by_its_arrival_and_one_in_doubt_until_it_has_settled() {
+    let plan = Plan { settle: Time::ms(1000), ..plan(StandIn::Nothing) };
+    let mut sessions = Sessions::new(START, Tokens::Carried, Some(plan), 1 << 12, 5);
+    let (one, two) = (asked(1, at(0)), asked(1, at(0)));
+    let first = sessions.begin(at(100), &one, true);
+    let mut second = sessions.begin(at(110), &two, true);
+    assert_eq!(floor(&mut sessions, at(120), 1), at(125), "it may have committed by now");
+    assert_eq!(floor(&mut sessions, at(120), 2), Time(0), "another session's is none of its business");
+    sessions.end(at(130), G, &first);
+    assert_eq!(floor(&mut sessions, at(140), 1), at(145), "one of two is out still");
+    second.doubt = true;
+    sessions.end(at(150), G, &second);
+    assert_eq!(sessions.unsettled(), 0);
+    assert_eq!(floor(&mut sessions, at(900), 1), at(905), "in doubt");
+    assert_eq!(floor(&mut sessions, at(9000), 1), at(1155), "settled");
+    assert_eq!(sessions.take_counts().unknown_writes, 1);
+}
+
 #[test]
 fn a_full_book_raises_the_floors_of_those_forgotten_and_leaves_the_rest() {
     let writes: Vec<(u64, Time)> = (0..5000).map(|n| (n, at(n))).collect();
--- a/crates/router/src/protocol/frames.rs
+++ b/crates/wire/src/lib.rs
@@ -1,4 +1,5 @@
-//! Version 3 messages: framing of a byte stream, and the few messages we write.
+//! Version 3 messages of PostgreSQL's protocol: framing of a byte stream, and the few messages that we write. Both
+//! the router and the client library stand on it.
 
 use std::fmt;
 use std::ops::Range;
@@ -123,20 +124,20 @@
     });
 }
 
-/// The SQLSTATE of an ErrorResponse's body.
-pub fn error_code(body: &[u8]) -> Option<&[u8]> {
+/// The fields of an ErrorResponse's body, up to the first that can't be read.
+pub fn error_fields(body: &[u8]) -> impl Iterator<Item = (u8, &[u8])> {
     let mut rest = body;
-    while let Some((&field, after)) = rest.split_first() {
-        if field == 0 {
-            return None;
-        }
+    std::iter::from_fn(move || {
+        let (&field, after) = rest.split_first().filter(|(field, _)| **field != 0)?;
         let (value, next) = text(after)?;
-        if field == b'C' {
-            return Some(value);
-        }
         rest = next;
-    }
-    None
+        Some((field, value))
+    })
+}
+
+/// The SQLSTATE of an ErrorResponse's body.
+pub fn error_code(body: &[u8]) -> Option<&[u8]> {
+    error_fields(body).find(|f| f.0 == b'C').map(|f| f.1)
 }
 
 /// A part of a buffer that is written out as it lies.
