Client library against the program: killed routers, dropped requests, farewells; basalthill ask

Need: the library's promises had no proof on sockets, and the command line no client. Change: tests with real routers that are killed and stopped, hosts that record what ran; clients { farewell } in our settings: a connection closed between two requests ends with 57P01, which proves that nothing more was read; basalthill ask takes the place of the toy's own client.

--- a/crates/client/src/core.rs
+++ b/crates/client/src/core.rs
@@ -1,5 +1,5 @@
-//! The decisions of one client, without I/O: time and what happened go in, effects come out. The same seed and
-//! the same inputs always give the same effects.
+//! The decisions of one client, without I/O: time and what happened go in, effects come out. The same seed
+//! and the same inputs always give the same effects.
 
 use crate::request::{
     of_the_statement, Config, Effect, End, Invalid, Priority, Report, Request, TryEnd, TryRecord, Written,
@@ -294,8 +294,8 @@
         self.pump(now);
     }
 
-    /// So many more bytes of the statement were handed to the system. What a connection writes before its first
-    /// statement does not count.
+    /// So many more bytes of the statement were handed to the system. What a connection writes before its
+    /// first statement does not count.
     pub fn wrote(&mut self, id: ConnId, bytes: usize) {
         if let Some(Conn { stage: Stage::Busy(talk), .. }) = self.conns.get_mut(&id) {
             talk.left = talk.left.saturating_sub(bytes);
@@ -429,8 +429,8 @@
         self.out.push_back(Action::Connect(id, self.routers[router].addr));
     }
 
-    /// The router for a new connection: fewest requests and connections to come, ties drawn. One out of service
-    /// is probed by one connection, once its cooldown is over.
+    /// The router for a new connection: fewest requests and connections to come, ties drawn. One out of
+    /// service is probed by one connection, once its cooldown is over.
     fn router(&mut self, now: Instant) -> Option<usize> {
         let mut best: Option<(usize, f64, usize)> = None;
         for n in 0..self.routers.len() {
@@ -618,7 +618,8 @@
         LEAST_LEFT.max(Duration::from_secs_f64(quick))
     }
 
-    /// A try has ended by itself: the request is done, or goes on if its effect, its time and the budget allow.
+    /// A try has ended by itself: the request is done, or goes on if its effect, its time and the budget
+    /// allow.
     fn ended(&mut self, now: Instant, talk: Talk, end: TryEnd) {
         let id = talk.request;
         let Some(job) = self.jobs.get_mut(&id) else { return };
--- a/crates/client/src/driver.rs
+++ b/crates/client/src/driver.rs
@@ -25,7 +25,7 @@
     Client(u64, Config),
     Request(u64, u64, Request, Sender<Report>),
     GiveUp(u64, u64),
-    Counts(u64, Sender<Counts>),
+    Counts(u64, Sender<(Counts, (usize, usize, usize))>),
     Gone(u64),
 }
 
@@ -128,6 +128,16 @@
 
     /// What the client has counted so far; nothing if its thread is gone.
     pub async fn counts(&self) -> Counts {
+        self.look().await.0
+    }
+
+    /// Requests, connections and timers on the books, for tests.
+    #[doc(hidden)]
+    pub async fn books(&self) -> (usize, usize, usize) {
+        self.look().await.1
+    }
+
+    async fn look(&self) -> (Counts, (usize, usize, usize)) {
         let (done, counts) = async_channel::bounded(1);
         let _ = self.0.runtime.0.asks.try_send(Ask::Counts(self.0.number, done));
         counts.recv().await.unwrap_or_default()
@@ -197,7 +207,8 @@
                 }
                 Ask::Counts(client, done) => {
                     if let Some((driven, _)) = clients.get(&client) {
-                        let _ = done.try_send(driven.core.borrow().counts());
+                        let core = driven.core.borrow();
+                        let _ = done.try_send((core.counts(), core.books()));
                     }
                 }
                 Ask::Gone(client) => {
@@ -224,6 +235,7 @@
             let Some(action) = self.core.borrow_mut().action() else { break };
             match action {
                 Action::Connect(id, addr) => {
+                    metrics::counter!("basalthill_client_connects_total").increment(1);
                     let wire = Rc::new(Wire {
                         stream: RefCell::default(),
                         out: RefCell::default(),
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -17,8 +17,8 @@
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 //!
-//! [`core`] decides and does no I/O; [`Client`] drives it on a thread of its own. `docs/design/client.md` argues
-//! the choices, `docs/operate/client.md` is for a gateway's author.
+//! [`core`] decides and does no I/O; [`Client`] drives it on a thread of its own. `docs/design/client.md`
+//! argues the choices, `docs/operate/client.md` is for a gateway's author.
 pub mod core;
 mod driver;
 mod request;
--- a/crates/client/src/request.rs
+++ b/crates/client/src/request.rs
@@ -208,7 +208,8 @@
     Served(Option<Vec<u8>>),
     /// Turned away, and nothing has run. Worth asking again, not sooner than after this if it is told.
     Refused(Option<Duration>),
-    /// Its time is over, or what is left is too short for an answer. Nothing has run, or a repeat does no harm.
+    /// Its time is over, or what is left is too short for an answer. Nothing has run, or a repeat does no
+    /// harm.
     Late,
     /// It failed, and a repeat does no harm.
     Failed,
--- a/crates/client/src/session.rs
+++ b/crates/client/src/session.rs
@@ -3,8 +3,8 @@
 use std::fmt;
 use std::sync::{Arc, Mutex, MutexGuard};
 
-/// So many requests of a session are out at a time: each answer's token replaces those that its request brought,
-/// so there are never more tokens than this to bring.
+/// So many requests of a session are out at a time: each answer's token replaces those that its request
+/// brought, so there are never more tokens than this to bring.
 pub(crate) const AT_ONCE: usize = 8;
 const VERSION: u8 = 1;
 
@@ -36,8 +36,8 @@
 }
 
 impl Session {
-    /// A new session; its name may hold letters, digits and any of `-_.:@`. An empty name means that the key of
-    /// each request names it.
+    /// A new session; its name may hold letters, digits and any of `-_.:@`. An empty name means that the key
+    /// of each request names it.
     pub fn new(name: &str) -> Result<Session, BadSession> {
         Session::with(name, Vec::new())
     }
--- a/crates/client/tests/core.rs
+++ b/crates/client/tests/core.rs
@@ -382,7 +382,9 @@
     b.hear(conn, &row(b"v"));
     // Load beyond one connection: its cooldown is over by now, and one connection probes it.
     b.pass(1600);
-    (0..6).for_each(|_| drop(b.ask(Effect::Safe, 9000)));
+    for _ in 0..6 {
+        b.ask(Effect::Safe, 9000);
+    }
     let probes = b.conns.values().filter(|a| **a == dead).count();
     assert_eq!(probes, 1, "{:?}", b.conns);
 }
@@ -639,7 +641,8 @@
                         End::Late | End::Failed => {
                             assert!(!doubt || seen.effect == Some(Effect::Safe), "{key}")
                         }
-                        // What a router has refused may not have been heard of: it has had the statement, though.
+                        // What a router has refused may not have been heard of: it has had the statement,
+                        // though.
                         End::MayHaveRun => {
                             assert!(!seen.whole.is_empty() && seen.effect != Some(Effect::Safe), "{key}");
                         }
--- a/crates/config/src/own.rs
+++ b/crates/config/src/own.rs
@@ -13,6 +13,9 @@
 pub struct Own {
     /// How sessions are kept together.
     pub sessions: Option<SessionSettings>,
+    /// A client whose connection the router closes between two requests is told so: what it has sent since
+    /// then was not read.
+    pub farewell: bool,
 }
 
 /// How sessions are kept together.
@@ -61,6 +64,7 @@
     let mut own = Own::default();
     for node in document.nodes() {
         match node.name().value() {
+            "clients" => own.farewell = file.clients(node)?,
             "sessions" if own.sessions.is_none() => own.sessions = Some(file.sessions(node)?),
             "sessions" => return Err(file.fault(node, "sessions", "is given twice")),
             other => return Err(file.fault(node, other, "is unknown")),
@@ -124,7 +128,7 @@
         entry.value().as_string().ok_or_else(|| self.entry_fault(entry, key, "must be text"))
     }
 
-    fn flag(&self, node: &KdlNode, key: &str, name: &str) -> Result<bool, ConfigError> {
+    fn flag(&self, node: &KdlNode, key: &str, name: impl Into<kdl::NodeKey>) -> Result<bool, ConfigError> {
         let Some(entry) = node.entry(name) else { return Ok(false) };
         entry.value().as_bool().ok_or_else(|| self.entry_fault(entry, key, "must be #true or #false"))
     }
@@ -151,6 +155,22 @@
         Ok(Time::ms(self.number(node, key, 0, 0..=MOST_MS)?.unwrap_or_default()))
     }
 
+    fn clients(&self, node: &KdlNode) -> Result<bool, ConfigError> {
+        self.shape(node, "clients", 0, &[])?;
+        let mut farewell = false;
+        for child in node.iter_children() {
+            let key = format!("clients.{}", child.name().value());
+            match child.name().value() {
+                "farewell" => {
+                    self.shape(child, &key, 1, &[])?;
+                    farewell = self.flag(child, &key, 0)?;
+                }
+                _ => return Err(self.fault(child, &key, "is unknown")),
+            }
+        }
+        Ok(farewell)
+    }
+
     fn sessions(&self, node: &KdlNode) -> Result<SessionSettings, ConfigError> {
         self.shape(node, "sessions", 0, &["floor"])?;
         let key = "sessions.floor";
--- a/crates/config/tests/own.rs
+++ b/crates/config/tests/own.rs
@@ -57,6 +57,8 @@
         assert_eq!(sessions.plan.stand_in, stand_in);
     }
     assert_eq!(parse("").unwrap(), Own::default());
+    assert!(parse("clients {\n farewell #true\n}").unwrap().farewell);
+    assert!(!parse("clients {\n farewell #false\n}").unwrap().farewell);
 }
 
 #[test]
@@ -65,6 +67,8 @@
     let keys = |inner: &str| within(&format!("tokens with=\"writes\" {{\n        {inner}\n    }}"));
     let cases = [
         ("zones \"a\"".to_string(), "1:1: zones: is unknown"),
+        ("clients {\n farewell 1\n}".into(), "2:11: clients.farewell: must be #true or #false"),
+        ("clients {\n hello #true\n}".into(), "2:2: clients.hello: is unknown"),
         ("sessions".into(), "1:1: sessions.floor: is missing"),
         ("sessions floor=3".into(), "1:10: sessions.floor: must be text"),
         ("sessions floor=\"x\"".into(), "1:1: sessions.floor: \"x\" is none of"),
--- a/crates/router/src/program/mod.rs
+++ b/crates/router/src/program/mod.rs
@@ -1,5 +1,6 @@
 //! The command line, the logger, start and stop.
 
+mod ask;
 mod logger;
 
 use crate::protocol::host::{self, Ending, HostMessage, HostSide};
@@ -38,6 +39,9 @@
         #[arg(long, env = "BALANCER_LISTEN")]
         listen: SocketAddr,
     },
+    /// Ask routers one thing, as a client with retries and a deadline; exit code 0 if it was served, 1 if
+    /// not, 3 if it may have run all the same.
+    Ask(ask::Options),
     /// Print the version.
     Version,
 }
@@ -93,6 +97,7 @@
                 ExitCode::FAILURE
             }
         },
+        Command::Ask(options) => ask::run(options),
         Command::Serve(argument) => match files(argument) {
             Ok(files) => serve(files),
             Err(e) => bad(&e),
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -240,6 +240,13 @@
     Ok(())
 }
 
+/// What comes of waiting for more.
+enum More {
+    Bytes,
+    Closing,
+    Late,
+}
+
 /// Waits for more bytes; between requests a router that stops closes its connections. A client that has long
 /// asked nothing, or does not finish what it has begun, is told so.
 async fn more(seat: &Seat, stream: &Async<TcpStream>, side: &mut ClientSide) -> Result<(), Over> {
@@ -250,7 +257,10 @@
     if side.waiting() > 0 && seat.begun.get().is_none() {
         seat.begun.set(Some(Instant::now()));
     }
-    let closing = slot.until(|| (hub.closing.get() || slot.ended.get()).then_some(Err(Over)));
+    let closing = async {
+        slot.until(|| (hub.closing.get() || slot.ended.get()).then_some(())).await;
+        Ok(More::Closing)
+    };
     let fill = async {
         // Long statements are read on a few at a time, or they would fill the memory together.
         if side.waiting() > LARGE && seat.large.borrow().is_none() {
@@ -258,7 +268,7 @@
             seat.large.replace(Some(place));
         }
         match io::read(hub, stream, |bytes| side.feed(bytes)).await {
-            Ok(1..) => Ok(true),
+            Ok(1..) => Ok(More::Bytes),
             _ => Err(Over),
         }
     };
@@ -271,11 +281,21 @@
             Some(since) => drop(Timer::at(since + Duration::from_nanos(CLIENT_WHOLE.0)).await),
             None => future::pending().await,
         }
-        Ok(false)
+        Ok(More::Late)
     };
     match future::or(fill, future::or(closing, late)).await? {
-        true => Ok(()),
-        false => Err(dismiss(seat, stream, "57P05", "no whole request has come in time").await),
+        More::Bytes => Ok(()),
+        More::Late => Err(dismiss(seat, stream, "57P05", "no whole request has come in time").await),
+        // No whole request has been read, and none will be: for a client that asks meanwhile, that is a
+        // proof.
+        More::Closing if hub.farewell.get() => {
+            seat.slot.stage.set(Stage::Leaving(Instant::now()));
+            if write(stream, &[&client::fatal("57P01", "closed between two requests")]).await.is_ok() {
+                io::part(hub, stream, future::pending()).await;
+            }
+            Err(Over)
+        }
+        More::Closing => Err(Over),
     }
 }
 
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -78,6 +78,8 @@
     settled: Signal,
     listed: Signal,
     closing: Cell<bool>,
+    /// Clients are told when their connection is closed between two requests.
+    farewell: Cell<bool>,
     /// Clients turned away, and clients told to go, since the log told of them.
     turned_away: Cell<u32>,
     dismissed: Cell<u32>,
@@ -115,6 +117,7 @@
             settled: Signal::default(),
             listed: Signal::default(),
             closing: Cell::new(false),
+            farewell: Cell::new(config.own.farewell),
             turned_away: Cell::new(0),
             dismissed: Cell::new(0),
             connect_timeout,
@@ -290,6 +293,7 @@
     for key in started.needs_restart(again) {
         log::warn!("configuration: {key} has changed, which needs a restart; the old value stays");
     }
+    hub.farewell.set(again.own.farewell);
     let plan = again.own.sessions.as_ref().map(|s| s.plan.clone());
     let bytes = started.limits.book_bytes();
     hub.router.borrow_mut().sessions().change(hub.clock.now(), plan, bytes, started.seed);
--- a/crates/router/tests/program.rs
+++ b/crates/router/tests/program.rs
@@ -202,36 +202,46 @@
     assert_eq!(child.wait().unwrap().code(), Some(0));
 }
 
+/// A process that does not outlive a test that fails.
+struct Guard(Child);
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
 /// The commands of `examples/README.md`, with ports of this test's own.
 #[test]
 fn the_example_does_what_its_page_says() {
     let root = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../..");
     let toy = PathBuf::from(env!("CARGO_BIN_EXE_basalthill")).with_file_name("examples").join("toy");
-    let mut deployment =
-        Command::new(&toy).args(["serve", "127.0.0.1:0"]).stdout(Stdio::piped()).spawn().unwrap();
-    let discovery = after(deployment.stdout.take().unwrap(), "discovery at ");
-    let mut router = program()
+    let deployment = Command::new(&toy).args(["serve", "127.0.0.1:0"]).stdout(Stdio::piped()).spawn();
+    let mut deployment = Guard(deployment.unwrap());
+    let discovery = after(deployment.0.stdout.take().unwrap(), "discovery at ");
+    let router = program()
         .args(["serve", "--config"])
         .arg(root.join("examples/router.json"))
         .env("BALANCER_LISTEN", "127.0.0.1:0")
         .env("BALANCER_DISCOVERY", discovery.to_string())
         .stderr(Stdio::piped())
-        .spawn()
-        .unwrap();
-    let listen = after(router.stderr.take().unwrap(), "listens on ").to_string();
+        .spawn();
+    let mut router = Guard(router.unwrap());
+    let listen = after(router.0.stderr.take().unwrap(), "listens on ").to_string();
     let page = std::fs::read_to_string(root.join("examples/README.md")).unwrap();
-    let asked: Vec<&str> = page.lines().filter_map(|l| l.split_once("-- ask ")).map(|a| a.1).collect();
+    let asked: Vec<&str> =
+        page.lines().filter_map(|l| l.split_once("basalthill -- ask ")).map(|a| a.1).collect();
     assert_eq!(asked.len(), 2);
-    for statement in asked {
+    for line in asked {
+        let words: Vec<&str> = line.split(' ').map(|w| if w.contains(':') { &listen } else { w }).collect();
         // A replica may answer before it has applied what was written a moment ago.
-        let ask = || Command::new(&toy).args(["ask", statement.trim_matches('"'), &listen]).output().unwrap();
+        let ask = || program().arg("ask").args(&words).output().unwrap();
         let served = (0..100).any(|_| said(&ask()) == "served: hello\n");
-        assert!(served, "{statement}: {}", said(&ask()));
+        assert!(served, "{line}: {}", said(&ask()));
     }
-    deployment.kill().unwrap();
-    signal(&router, "TERM");
-    assert_eq!(router.wait().unwrap().code(), Some(0));
-    deployment.wait().unwrap();
+    signal(&router.0, "TERM");
+    assert_eq!(router.0.wait().unwrap().code(), Some(0));
 }
 
 /// The page's second part: replicas far behind, and a session that asks at once, also through a router that
@@ -245,9 +255,10 @@
     let statements: Vec<&str> = page.split("-c \"").skip(1).filter_map(|s| s.split('"').next()).collect();
     let [write, read] = statements[..] else { panic!("{statements:?}") };
     for (settings, sees) in [(false, ""), (true, "mine")] {
-        let mut deployment =
-            Command::new(&toy).args(["serve", "127.0.0.1:0", "800"]).stdout(Stdio::piped()).spawn().unwrap();
-        let discovery = after(deployment.stdout.take().unwrap(), "discovery at ");
+        let deployment =
+            Command::new(&toy).args(["serve", "127.0.0.1:0", "800"]).stdout(Stdio::piped()).spawn();
+        let mut deployment = Guard(deployment.unwrap());
+        let discovery = after(deployment.0.stdout.take().unwrap(), "discovery at ");
         let router = || {
             let mut command = program();
             command.args(["serve", "--config"]).arg(root.join("examples/router.json"));
@@ -255,21 +266,17 @@
                 command.arg("--settings").arg(root.join("examples/basalthill.kdl"));
             }
             let command = command.env("BALANCER_LISTEN", "127.0.0.1:0").stderr(Stdio::piped());
-            let mut child = command.env("BALANCER_DISCOVERY", discovery.to_string()).spawn().unwrap();
-            let listen = after(child.stderr.take().unwrap(), "listens on ");
+            let child = command.env("BALANCER_DISCOVERY", discovery.to_string()).spawn();
+            let mut child = Guard(child.unwrap());
+            let listen = after(child.0.stderr.take().unwrap(), "listens on ");
             (child, listen)
         };
         let ask = |listen, text: &str| Client::connect(listen).unwrap().ask(text).unwrap();
-        let (mut first, listen) = router();
+        let (first, listen) = router();
         assert_eq!(ask(listen, write), Answer::Row(b"mine".to_vec()));
         assert_eq!(ask(listen, read), Answer::Row(sees.as_bytes().to_vec()), "settings: {settings}");
-        first.kill().unwrap();
-        first.wait().unwrap();
-        let (mut second, listen) = router();
+        drop(first);
+        let (_second, listen) = router();
         assert_eq!(ask(listen, read), Answer::Row(sees.as_bytes().to_vec()), "settings: {settings}");
-        for child in [&mut second, &mut deployment] {
-            child.kill().unwrap();
-            child.wait().unwrap();
-        }
     }
 }
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -175,7 +175,8 @@
         let discovery = Discovery::start(known.clone())?;
         let settings = crate::SETTINGS.replace("\"await\"", &format!("{behind:?}"));
         let settings = settings.replace("\"balancers\": 2", &format!("\"balancers\": {routers}"));
-        let text = format!(r#"{{"seed":"1","known":{known},"settings":{settings}}}"#);
+        let limits = r#"{"sockets":16384,"memory_mb":192}"#;
+        let text = format!(r#"{{"seed":"1","limits":{limits},"known":{known},"settings":{settings}}}"#);
         let start = Start {
             program: program.into(),
             config: file(folder, "router.json", &text)?,
--- a/crates/standin/src/group.rs
+++ b/crates/standin/src/group.rs
@@ -126,6 +126,12 @@
             .collect()
     }
 
+    /// All values committed under a key, in order.
+    pub fn commits(&self, key: &str) -> Vec<String> {
+        let state = self.state.lock();
+        state.log.get(key).into_iter().flatten().map(|c| c.value.clone()).collect()
+    }
+
     /// Waits until something has been committed under a key.
     pub fn committed(&self, key: &str) -> Option<()> {
         self.state.wait(|s| s.log.contains_key(key).then_some(()))
@@ -146,6 +152,14 @@
     before.split('\'').skip(1).step_by(2).collect()
 }
 
+/// The text of a literal that may stand in hexadecimal digits.
+fn decoded(literal: &str) -> String {
+    let Some(digits) = literal.strip_prefix("\\x") else { return literal.to_string() };
+    let byte = |i| u8::from_str_radix(digits.get(i..i + 2)?, 16).ok();
+    let bytes: Vec<u8> = (0..digits.len()).step_by(2).filter_map(byte).collect();
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 /// A figure of a statement's comment.
 fn figure(statement: &str, name: &str) -> Option<u64> {
     let comment = statement.split("/*").nth(1)?.trim_end().strip_suffix("*/")?;
@@ -163,6 +177,7 @@
         [] if text == "SELECT 1" => Reply::Row(b"1".to_vec()),
         [key] => read(state, member, key, figure(text, "after").unwrap_or(0), &manner),
         [key, value] => {
+            let value = &decoded(value);
             std::thread::sleep(manner.write_takes[0]);
             let commit = state.change(|s| {
                 if member != s.primary {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,5 +1,5 @@
-//! Version 3 messages of PostgreSQL's protocol: framing of a byte stream, and the few messages that we write. Both
-//! the router and the client library stand on it.
+//! Version 3 messages of PostgreSQL's protocol: framing of a byte stream, and the few messages that we write.
+//! Both the router and the client library stand on it.
 
 use std::fmt;
 use std::ops::Range;
--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -1,18 +1,15 @@
-//! A toy deployment to try the router with: one primary, two replicas and discovery on this machine, and a
-//! client.
+//! A toy deployment to try the router with: one primary, two replicas and discovery on this machine.
 //!
-//!     cargo run --example toy -- serve [DISCOVERY [LAG]]   the deployment, until interrupted
-//!     cargo run --example toy -- ask STATEMENT [ROUTER]    one statement to the router
+//!     cargo run --example toy -- serve [DISCOVERY [LAG]]
 //!
-//! The addresses are those of `examples/router.json` unless given; replicas follow LAG milliseconds behind.
+//! It goes on until interrupted. Discovery's address is that of `examples/router.json` unless given; replicas
+//! follow LAG milliseconds behind.
 
-use basalthill_standin::client::{Answer, Client};
 use basalthill_standin::discovery::{list, Discovery};
 use basalthill_standin::group::{Behind, Group, Manner};
 use std::net::SocketAddr;
 use std::process::ExitCode;
 
-const ROUTER: &str = "127.0.0.1:6432";
 const DISCOVERY: &str = "127.0.0.1:6500";
 const GROUP: u32 = 1;
 /// How long a replica takes to apply what was written.
@@ -33,16 +30,6 @@
     }
 }
 
-fn ask(statement: &str, router: SocketAddr) -> std::io::Result<()> {
-    match Client::connect(router)?.ask(statement)? {
-        Answer::Row(value) => println!("served: {}", String::from_utf8_lossy(&value)),
-        Answer::Empty => println!("ready"),
-        Answer::Error(code, None) => println!("error {code}"),
-        Answer::Error(code, Some(detail)) => println!("error {code}, come back in {detail} ms"),
-    }
-    Ok(())
-}
-
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
@@ -54,9 +41,7 @@
             let lag = lag.parse().map_err(|e| std::io::Error::other(format!("{lag}: {e}")));
             lag.and_then(|lag| deployment(address(discovery)?, lag))
         }
-        ["ask", statement] => address(ROUTER).and_then(|router| ask(statement, router)),
-        ["ask", statement, router] => address(router).and_then(|router| ask(statement, router)),
-        _ => Err(std::io::Error::other("usage: toy serve [DISCOVERY [LAG]] | ask STATEMENT [ROUTER]")),
+        _ => Err(std::io::Error::other("usage: toy serve [DISCOVERY [LAG]]")),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
