Lab: reconnects, overload and overhead of the client library; what comes ahead of a farewell

Need: figures for the client library, and a farewell behind an early token or a description was believed. Change: three experiments; any sign that a router has begun to answer takes a farewell's proof away.

--- a/crates/client/src/core.rs
+++ b/crates/client/src/core.rs
@@ -491,7 +491,10 @@
                 self.close(id);
                 self.lost = true;
             }
+            (Stage::Busy(talk), Said::Description) => talk.begun = true,
             (Stage::Busy(talk), Said::Token(token)) => {
+                // An early one comes as the statement goes out: it was read.
+                talk.begun = true;
                 let job = self.jobs.get_mut(&talk.request);
                 if let Some((job, session)) = job.and_then(|j| j.request.session.clone().map(|s| (j, s))) {
                     session.token(&mut job.brought, token);
--- a/crates/client/src/wire.rs
+++ b/crates/client/src/wire.rs
@@ -13,6 +13,8 @@
     Ready,
     /// A session's token.
     Token(String),
+    /// A row is about to come.
+    Description,
     /// A value; none if it is null.
     Row(Option<Vec<u8>>),
     /// The row is whole.
@@ -57,7 +59,8 @@
                     Some(Said::Error { fatal, code, message, detail: word(b'D') })
                 }
                 b'R' if body == [0; 4] => None,
-                b'T' | b'K' | b'N' | b'A' | b'I' | b'v' => None,
+                b'T' => Some(Said::Description),
+                b'K' | b'N' | b'A' | b'I' | b'v' => None,
                 _ => return Err(wrong()),
             };
             self.inbox.used(5 + len);
--- a/crates/client/tests/core.rs
+++ b/crates/client/tests/core.rs
@@ -199,12 +199,17 @@
             assert_eq!(b.end(id), Some(&End::MayHaveRun), "{what}");
         }
     }
-    // A farewell behind the beginning of an answer proves nothing.
-    let mut b = Bench::new(config(1));
-    let id = b.ask(Effect::Unsafe, 2000);
-    let conn = b.up();
-    b.hear(conn, &[&row(b"v")[..12], &error("FATAL", "57P01", None)].concat());
-    assert_eq!(b.end(id), Some(&End::MayHaveRun));
+    // A farewell behind the beginning of an answer, or behind an early token, proves nothing.
+    let description = row(b"v")[..7].to_vec();
+    let whole_row = row(b"v")[..19].to_vec();
+    let token = message(b'S', b"session_token\0x\0");
+    for before in [description, whole_row, token] {
+        let mut b = Bench::new(config(1));
+        let id = b.ask(Effect::Unsafe, 2000);
+        let conn = b.up();
+        b.hear(conn, &[before.clone(), error("FATAL", "57P01", None)].concat());
+        assert_eq!(b.end(id), Some(&End::MayHaveRun), "{before:?}");
+    }
 }
 
 #[test]
--- a/crates/lab/src/cost.rs
+++ b/crates/lab/src/cost.rs
@@ -116,9 +116,9 @@
     println!("{}", costs.text());
     if let Some(out) = &common.out {
         let words = format!(
-            "Real router processes and sockets, stand-in groups, one client each: {} requests at each router, \
-             a quarter of them writes, in turns of {}. Alone, in one process: {made:.2} us to make a token of \
-             one group, {read:.2} us to read it.",
+            "Real router processes and sockets, stand-in groups, one client each: {} requests at each \
+             router, a quarter of them writes, in turns of {}. Alone, in one process: {made:.2} us to make a \
+             token of one group, {read:.2} us to read it.",
             options.requests, options.turn
         );
         table(out, "cost", &words, &costs)?;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,7 +2,11 @@
 //! `--out` names a folder, and ends with a line of `key=value`; exit code 1 if what was promised was broken.
 
 mod book;
+mod clients;
 mod cost;
+mod overhead;
+mod overload;
+mod reconnect;
 mod restart;
 mod results;
 mod sessions;
@@ -11,6 +15,10 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+/// Counts what the library allocates, for `overhead`.
+#[global_allocator]
+static ALLOCATOR: &stats_alloc::StatsAlloc<std::alloc::System> = &stats_alloc::INSTRUMENTED_SYSTEM;
+
 /// Experiments with basalthill.
 #[derive(Parser)]
 #[command(name = "basalthill-lab", version)]
@@ -43,6 +51,12 @@
     Book(book::Options),
     /// What tokens cost a request, on against off.
     Cost(cost::Options),
+    /// Clients that lose their router, and get it back: the library against naive ones.
+    Reconnect(reconnect::Options),
+    /// More load than the hosts can take: the library's budget against naive retries and none.
+    Overload(overload::Options),
+    /// What the library costs a request, against a bare loop over sockets.
+    Overhead(overhead::Options),
     /// What a snapshot buys at a restart while replicas are behind.
     Restart(restart::Options),
 }
@@ -68,6 +82,9 @@
         Experiment::Sessions(options) => sessions::run(&options, &common),
         Experiment::Book(options) => book::run(&options, &common),
         Experiment::Cost(options) => cost::run(&options, &common),
+        Experiment::Reconnect(options) => reconnect::run(&options, &common),
+        Experiment::Overload(options) => overload::run(&options, &common),
+        Experiment::Overhead(options) => overhead::run(&options, &common),
         Experiment::Restart(options) => restart::run(&options, &common),
     };
     match done {
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -82,8 +82,7 @@
 
     /// Kills it outright and starts it again at the same address.
     pub fn kill_and_restart(&mut self) -> io::Result<()> {
-        self.child.kill()?;
-        self.child.wait()?;
+        self.kill()?;
         self.again()
     }
 
@@ -94,7 +93,14 @@
         self.again()
     }
 
-    fn again(&mut self) -> io::Result<()> {
+    /// Kills it outright.
+    pub fn kill(&mut self) -> io::Result<()> {
+        self.child.kill()?;
+        self.child.wait().map(drop)
+    }
+
+    /// Starts it again at the same address.
+    pub fn again(&mut self) -> io::Result<()> {
         (self.child, self.addr) = Router::spawn(&self.name, &self.start, self.addr, &self.log)?;
         Ok(())
     }
@@ -170,11 +176,13 @@
             Behind::Refuses => "bounce",
             Behind::Waits(_) => "await",
         };
+        let come_back = format!("\"maxRetryAfter\": {}000000", manner.come_back_ms);
         let group = Group::start(2, 3, manner)?;
         let known = listed(&group, 1);
         let discovery = Discovery::start(known.clone())?;
         let settings = crate::SETTINGS.replace("\"await\"", &format!("{behind:?}"));
         let settings = settings.replace("\"balancers\": 2", &format!("\"balancers\": {routers}"));
+        let settings = settings.replace("\"maxRetryAfter\": 1000000000", &come_back);
         let limits = r#"{"sockets":16384,"memory_mb":192}"#;
         let text = format!(r#"{{"seed":"1","limits":{limits},"known":{known},"settings":{settings}}}"#);
         let start = Start {
--- a/crates/standin/src/group.rs
+++ b/crates/standin/src/group.rs
@@ -32,6 +32,11 @@
     pub write_takes: [Duration; 2],
     /// How long a read takes.
     pub read_takes: Duration,
+    /// The longest time to come back that routers tell, in milliseconds.
+    pub come_back_ms: u64,
+    /// So many statements are worked on at a time by each member; any number if 0. What has no place within
+    /// half a second is turned away.
+    pub slots: usize,
     /// Answers are `VALUE@SERIAL@source` (or `copy`), for those who hold them against the oracle.
     pub marked: bool,
 }
@@ -40,7 +45,16 @@
     fn default() -> Manner {
         let (behind, read_takes) = (Behind::Waits(Duration::from_millis(100)), Duration::from_micros(500));
         let write_takes = [Duration::from_millis(1); 2];
-        Manner { lag_ms: 12, ahead_ms: 0, behind, write_takes, read_takes, marked: true }
+        Manner {
+            lag_ms: 12,
+            ahead_ms: 0,
+            behind,
+            write_takes,
+            read_takes,
+            come_back_ms: 1000,
+            slots: 0,
+            marked: true,
+        }
     }
 }
 
@@ -61,6 +75,8 @@
     log: BTreeMap<String, Vec<Commit>>,
     last: u64,
     serial: u64,
+    /// Statements that each member works on.
+    busy: Vec<usize>,
 }
 
 impl State {
@@ -92,7 +108,8 @@
 impl Group {
     /// Starts a group of so many members, the first of them its primary.
     pub fn start(number: u32, members: usize, manner: Manner) -> io::Result<Group> {
-        let state = State { manner, primary: 0, log: BTreeMap::new(), last: 0, serial: 0 };
+        let state =
+            State { manner, primary: 0, log: BTreeMap::new(), last: 0, serial: 0, busy: vec![0; members] };
         let state = Arc::new(Watched { value: state.into(), changed: Default::default() });
         let host = |member| {
             let state = Arc::clone(&state);
@@ -168,6 +185,26 @@
 
 fn answer(state: &Watched<State>, member: usize, text: &str) -> (Reply, Telling) {
     let manner = state.lock().manner.clone();
+    if manner.slots == 0 || !text.contains("records") {
+        return work(state, member, text, manner);
+    }
+    let until = Instant::now() + Duration::from_millis(500);
+    let place = state.wait(|s| match s.busy[member] < manner.slots {
+        true => {
+            s.busy[member] += 1;
+            Some(true)
+        }
+        false => (Instant::now() >= until).then_some(false),
+    });
+    if place != Some(true) {
+        return (Reply::Error("53300"), Vec::new());
+    }
+    let done = work(state, member, text, manner);
+    state.change(|s| s.busy[member] -= 1);
+    done
+}
+
+fn work(state: &Watched<State>, member: usize, text: &str, manner: Manner) -> (Reply, Telling) {
     let reply = match &literals(text)[..] {
         [] if text == "SHOW vitals" => {
             let state = state.lock();
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -34,6 +34,8 @@
 pub struct Seen {
     /// Statements in the order in which their last bytes came, each with its connection's number.
     pub statements: Vec<(usize, String)>,
+    /// When each of them came.
+    pub times: Vec<std::time::Instant>,
     /// Connections accepted so far.
     pub accepted: usize,
     /// Connections that are open.
@@ -142,7 +144,10 @@
             return Ok(());
         }
         let text = String::from_utf8_lossy(body.strip_suffix(&[0]).unwrap_or(&body)).into_owned();
-        seen.change(|s| s.statements.push((number, text.clone())));
+        seen.change(|s| {
+            s.statements.push((number, text.clone()));
+            s.times.push(std::time::Instant::now());
+        });
         let (reply, telling) = answers(&text);
         let telling: Vec<u8> = telling.iter().flat_map(|(name, value)| parameter(name, value)).collect();
         let out = match reply {
