--- /dev/null
+++ b/crates/router/tests/reconnect.rs
@@ -0,0 +1,113 @@
+//! Many clients of one router lose it, against the program itself: they arrive at the others spread over
+//! their slack, nothing reaches a host after its deadline, and no write runs twice.
+
+use basalthill_client::{Client, Config, End, Request, Runtime};
+use basalthill_standin::fleet::{Dice, World};
+use basalthill_standin::group::Manner;
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const MS: Duration = Duration::from_millis(1);
+const CLIENTS: u64 = 160;
+
+static CONNECTS: Mutex<Vec<Instant>> = Mutex::new(Vec::new());
+
+/// Notes the moment of each connect.
+struct Recorder;
+
+impl metrics::CounterFn for Recorder {
+    fn increment(&self, _: u64) {
+        CONNECTS.lock().unwrap().push(Instant::now());
+    }
+    fn absolute(&self, _: u64) {}
+}
+
+impl metrics::Recorder for Recorder {
+    fn describe_counter(&self, _: metrics::KeyName, _: Option<metrics::Unit>, _: metrics::SharedString) {}
+    fn describe_gauge(&self, _: metrics::KeyName, _: Option<metrics::Unit>, _: metrics::SharedString) {}
+    fn describe_histogram(&self, _: metrics::KeyName, _: Option<metrics::Unit>, _: metrics::SharedString) {}
+    fn register_counter(&self, key: &metrics::Key, _: &metrics::Metadata<'_>) -> metrics::Counter {
+        match key.name() == "basalthill_client_connects_total" {
+            true => metrics::Counter::from_arc(Arc::new(Recorder)),
+            false => metrics::Counter::noop(),
+        }
+    }
+    fn register_gauge(&self, _: &metrics::Key, _: &metrics::Metadata<'_>) -> metrics::Gauge {
+        metrics::Gauge::noop()
+    }
+    fn register_histogram(&self, _: &metrics::Key, _: &metrics::Metadata<'_>) -> metrics::Histogram {
+        metrics::Histogram::noop()
+    }
+}
+
+/// A write under a key of its own that tells its deadline, in microseconds from `zero`.
+fn write(client: u64, n: u64, zero: Instant) -> Request {
+    let deadline = Instant::now() + 900 * MS;
+    let key = format!("{client}-{n}-{}", (deadline - zero).as_micros());
+    Request::write("write", 2, &key, b"1").tenant("acme").by(deadline)
+}
+
+#[test]
+fn clients_that_lose_a_router_arrive_at_the_others_spread_over_their_slack() {
+    metrics::set_global_recorder(Recorder).unwrap();
+    let program = Path::new(env!("CARGO_BIN_EXE_basalthill"));
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let mut world = World::start(program, folder, 2, Manner::default(), None).unwrap();
+    let addrs: Vec<_> = world.routers.iter().map(|r| r.addr).collect();
+    let runtime = Runtime::start().unwrap();
+    let client = |n| runtime.client(Config { seed: n, ..Config::new(addrs.clone()) });
+    let clients: Vec<Client> = (0..CLIENTS).map(client).collect();
+    let zero = Instant::now();
+    let round = |n: u64, gap: Duration| {
+        let clients = &clients;
+        std::thread::scope(|scope| {
+            let asks = (0..CLIENTS).map(|c| {
+                scope.spawn(move || {
+                    std::thread::sleep(gap.mul_f64(Dice(c).below(1000) as f64 / 1000.0));
+                    clients[c as usize].ask_blocking(write(c, n, zero)).end
+                })
+            });
+            let asks: Vec<_> = asks.collect();
+            asks.into_iter().map(|a| a.join().unwrap()).collect::<Vec<End>>()
+        })
+    };
+    // All have a connection; about half of them lose it, all at the same moment, and all ask right after
+    // that.
+    let served = |ends: &[End]| ends.iter().filter(|e| matches!(e, End::Served(_))).count();
+    assert_eq!(served(&round(0, 100 * MS)), CLIENTS as usize);
+    world.routers[0].kill().unwrap();
+    let died = Instant::now();
+    let ends = round(1, Duration::ZERO);
+    let after = |from: Instant| -> Vec<Duration> {
+        let connects = CONNECTS.lock().unwrap();
+        let mut all: Vec<Duration> = connects.iter().filter(|c| **c >= from).map(|c| *c - from).collect();
+        all.sort();
+        all
+    };
+    let connects = after(died);
+    let within = |from: u32, to: u32| connects.iter().filter(|c| **c >= from * MS && **c < to * MS).count();
+    println!(
+        "{} connects, {:?}",
+        connects.len(),
+        (0..6).map(|n| within(n * 100, n * 100 + 100)).collect::<Vec<_>>()
+    );
+    assert_eq!(served(&ends), CLIENTS as usize, "and nobody goes without: {ends:?}");
+    assert!(connects.len() > 40, "so many have lost theirs: {}", connects.len());
+    let most = (0..60).map(|n| within(n * 10, n * 10 + 50)).max().unwrap();
+    assert!(most * 3 < connects.len(), "{most} of {} within 50 ms", connects.len());
+    // It comes back: nobody runs there at once.
+    world.routers[0].again().unwrap();
+    let returned = Instant::now();
+    assert_eq!(served(&round(2, 300 * MS)), CLIENTS as usize);
+    assert!(after(returned).len() < 20, "{:?}", after(returned));
+    for host in &world.group.hosts {
+        let seen = host.seen.lock();
+        for ((_, text), at) in seen.statements.iter().zip(&seen.times) {
+            let Some(key) = text.split('\'').nth(1) else { continue };
+            let deadline: u64 = key.rsplit('-').next().unwrap().parse().unwrap();
+            assert!(*at <= zero + Duration::from_micros(deadline), "{text}");
+            assert!(world.group.commits(key).len() <= 1, "{text}");
+        }
+    }
+}
