Tests of the client's core see reconnects at once and lost tokens

Need: two of twenty weakened cores went unseen. Change: a connect in the first moment counts among the spread, and tokens of requests that went side by side are all kept.

--- a/crates/client/tests/core.rs
+++ b/crates/client/tests/core.rs
@@ -449,7 +449,7 @@
         at.push(b.now - from);
     }
     at.sort();
-    let within = |ms: u32| at.iter().filter(|t| **t <= ms * MS).count();
+    let within = |ms: u32| at.iter().filter(|t| **t < ms * MS).count();
     assert!(at[399] <= 451 * MS, "half of the slack: {:?}", at[399]);
     for n in 0..9 {
         let part = within((n + 1) * 50) - within(n * 50);
@@ -498,6 +498,9 @@
         n += 1;
         b.hear(conn, &[token(&format!("x{n}")), row(b"v")].concat());
         assert!(session.tokens().len() <= 8, "{:?}", session.tokens());
+        if n == 2 {
+            assert_eq!(session.tokens(), ["x1", "x2"], "neither of them brought the other's");
+        }
     }
     let again = Session::import(&session.export()).unwrap();
     assert_eq!((again.name(), again.tokens()), (session.name(), session.tokens()));
