External processor: the desk takes calls of proxies through the decision module

Need: leases and decided writes were parts without a whole. Change: crates/extproc desk: one request of one or more streams, its lease, its further attempts, its one answer; requests of proxies have numbers of their own, so that one module can serve both fronts.

--- a/crates/extproc/src/lease.rs
+++ b/crates/extproc/src/lease.rs
@@ -133,6 +133,12 @@
         Some(Ended { lease, status: told.status(), standing })
     }
 
+    /// The decisions call a lease off: they wait for it no longer, and it may run all the same.
+    pub fn call_off(&mut self, id: LeaseId) -> Option<Ended> {
+        let lease = self.take(id)?;
+        Some(Ended { lease, status: Status::Cancelled, standing: Standing::default() })
+    }
+
     /// A stream has ended with nothing more said: what it had may have been sent.
     pub fn stream_ended(&mut self, stream: StreamId) -> Vec<Ended> {
         let span = (stream, LeaseId(0))..=(stream, LeaseId(u64::MAX));
--- a/crates/extproc/src/lib.rs
+++ b/crates/extproc/src/lib.rs
@@ -4,11 +4,13 @@
 //! times; [`lease`] keeps what is out, and says what each end of it proves; [`owner`] says which of several
 //! instances decides an id. `docs/design/extproc.md` argues why. The front on sockets is still to come.
 pub mod decided;
+pub mod desk;
 pub mod id;
 pub mod lease;
 pub mod owner;
 
 pub use decided::{Decided, Verdict};
+pub use desk::{Call, Desk, Limits, Out, Say, Why};
 pub use id::WriteId;
 pub use lease::{LeaseId, Leases, Told};
 pub use owner::{Owners, Roster};
