Routing's second way in: calls of proxies beside clients' requests, one module, one set of books

Need: the external processor's desk had no way to the router's module, list and members. Change: Input::Proxy and Effect::Proxy; actions for proxies' requests go to the desk; a decision holds no longer than its member's grace. Off unless serve_proxies is called, which the program does not do yet. Measured: routing's tests drive both ways in together; all tests of the workspace pass.

--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -13,6 +13,8 @@
 use crate::protocol::host::{report, Ending, Row, Telling};
 use crate::protocol::statement::{Statement, StatementError};
 use basalthill_config::settings::{Reports, Site};
+use basalthill_extproc::lease::StreamId;
+use basalthill_extproc::{Call, Desk, LeaseId, Limits, Out, Say, Told};
 use basalthill_policy::api::*;
 use basalthill_policy::Policy;
 use basalthill_session::sessions::Bond;
@@ -67,12 +69,25 @@
     Ended(ExchangeId, Ended),
     /// Discovery has told something.
     List(HostList),
+    /// Another proxy says something on a stream of its own.
+    Proxy(StreamId, Spoken),
     /// Timers that are due may fire.
     Tick,
     /// The program is about to end: what is unanswered is failed.
     Shutdown,
 }
 
+/// What another proxy says.
+#[derive(Clone, Debug)]
+pub enum Spoken {
+    /// It asks which member takes a request.
+    Ask(Call),
+    /// It tells what came of a lease.
+    Told(LeaseId, Told, Standing),
+    /// Its stream has ended.
+    Gone,
+}
+
 /// What a client gets.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Answer {
@@ -118,6 +133,8 @@
     Abandon(ExchangeId),
     /// Hand a client its session's token, before its answer or with it.
     Token(ClientId, String),
+    /// Tell another proxy; the address goes with a member.
+    Proxy(StreamId, Say, Option<SocketAddr>),
     /// Answer a client.
     Answer(ClientId, Answer),
     /// Close the idle connections to an address.
@@ -154,6 +171,8 @@
     policy: Policy,
     site: Site,
     sessions: Sessions,
+    /// Calls of other proxies, where they are served.
+    desk: Option<Desk>,
     members: Members,
     /// When each client's connection was accepted.
     accepted: BTreeMap<ClientId, Time>,
@@ -186,6 +205,7 @@
             policy,
             site,
             sessions,
+            desk: None,
             members,
             accepted: BTreeMap::new(),
             open: BTreeMap::new(),
@@ -223,6 +243,7 @@
                 let (form, entries) = self.members.take(now, list);
                 self.events.push_back(Event::List(form, entries));
             }
+            Input::Proxy(stream, spoken) => self.proxy(now, stream, spoken, out),
             Input::Tick => self.due(now, out),
             Input::Shutdown => {
                 for (client, id) in std::mem::take(&mut self.by_client) {
@@ -238,7 +259,18 @@
 
     /// When the next timer is due.
     pub fn next_due(&self) -> Option<Time> {
-        self.timers.next()
+        let lease = self.desk.as_ref().and_then(Desk::next_due);
+        self.timers.next().into_iter().chain(lease).min()
+    }
+
+    /// Takes calls of other proxies from now on.
+    pub fn serve_proxies(&mut self, now: Time, limits: Limits) {
+        self.desk = Some(Desk::new(now, &self.site.settings, limits));
+    }
+
+    /// Calls of proxies, their leases, and the writes remembered for them.
+    pub fn desk_books(&self) -> (usize, usize, usize) {
+        self.desk.as_ref().map_or((0, 0, 0), Desk::books)
     }
 
     /// Whether a query may still be written to a member. The decisions keep a drain's grace when they send,
@@ -286,6 +318,15 @@
     }
 
     fn act(&mut self, now: Time, action: Action, out: &mut Vec<Effect>) {
+        let of = match &action {
+            Action::Send(id, ..) | Action::Refuse(id, _) | Action::Fail(id) | Action::Cancel(id, _) => {
+                Some(*id)
+            }
+            _ => None,
+        };
+        if of.is_some_and(Desk::owns) {
+            return self.act_for_proxy(now, &action, out);
+        }
         match action {
             Action::Send(id, member, limit) => self.send(now, id, member, limit, out),
             Action::Refuse(id, after) => {
@@ -375,6 +416,50 @@
         self.events.push_back(Event::Request(request));
     }
 
+    /// A proxy's word, to the desk.
+    fn proxy(&mut self, now: Time, stream: StreamId, spoken: Spoken, out: &mut Vec<Effect>) {
+        let mut said = Vec::new();
+        let Some(desk) = &mut self.desk else { return };
+        match spoken {
+            Spoken::Ask(call) => desk.ask(now, stream, call, &mut said),
+            Spoken::Told(lease, told, standing) => desk.told(now, stream, lease, told, standing, &mut said),
+            Spoken::Gone => desk.gone(now, stream, &mut said),
+        }
+        self.desk_says(said, out);
+    }
+
+    /// What the decisions do with a proxy's request. The decision holds up to a drain's grace, and a member
+    /// that nobody can reach is not named.
+    fn act_for_proxy(&mut self, now: Time, action: &Action, out: &mut Vec<Effect>) {
+        let until = match action {
+            Action::Send(_, member, _) if self.members.addr(*member).is_none() => Some(now),
+            Action::Send(_, member, _) => {
+                self.members.parting(*member).map(|told| told.plus(self.site.settings.drain_grace))
+            }
+            _ => None,
+        };
+        let mut said = Vec::new();
+        if let Some(desk) = &mut self.desk {
+            desk.act(now, action, until, &mut said);
+        }
+        self.desk_says(said, out);
+    }
+
+    fn desk_says(&mut self, said: Vec<Out>, out: &mut Vec<Effect>) {
+        for one in said {
+            match one {
+                Out::Event(event) => self.events.push_back(event),
+                Out::Say(stream, say) => {
+                    let addr = match say {
+                        Say::Member(_, member, _) => self.members.addr(member),
+                        _ => None,
+                    };
+                    out.push(Effect::Proxy(stream, say, addr));
+                }
+            }
+        }
+    }
+
     /// What a request's session is known by, and the floor of its read.
     fn session(
         &mut self,
@@ -516,6 +601,12 @@
 
     /// Fires the timers that are due now; those set meanwhile wait for the next time.
     fn due(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if let Some(desk) = &mut self.desk {
+            let mut said = Vec::new();
+            desk.tick(now, &mut said);
+            self.desk_says(said, out);
+            self.run(now, out);
+        }
         for (key, timer) in self.timers.due(now) {
             match timer {
                 Timer::Policy(token) => {
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -143,6 +143,7 @@
                         slot.token(token);
                     }
                 }
+                Effect::Proxy(..) => {} // the front towards proxies is still to come
                 Effect::Answer(client, answer) => self.answer(client, answer),
                 Effect::CloseIdle(addr) => self.pool.close(addr),
                 Effect::Fetch => self.fetch.notify(),
--- a/crates/router/tests/routing.rs
+++ b/crates/router/tests/routing.rs
@@ -2,9 +2,11 @@
 
 mod common;
 
-use basalthill_policy::api::{MemberId, RequestId, Status, Time};
+use basalthill_extproc::lease::StreamId;
+use basalthill_extproc::{Call, LeaseId, Limits, Say, Told, WriteId};
+use basalthill_policy::api::{ClassId, GroupId, MemberId, RequestId, Role, Standing, Status, TenantId, Time};
 use basalthill_router::protocol::host::{Ending, Row, Telling};
-use basalthill_router::routing::{Answer, ClientId, Effect, Ended, ExchangeId, Input, Query, Router};
+use basalthill_router::routing::{Answer, ClientId, Effect, Ended, ExchangeId, Input, Query, Router, Spoken};
 use common::{hosts, sessions, site, statement};
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -548,3 +550,88 @@
         d.attempt(9, "write");
     }
 }
+
+const DESK: Limits = Limits {
+    calls: 100,
+    writes: 1000,
+    window: Time::ms(10_000),
+    skew: Time::ms(5),
+    send_within: Time::ms(200),
+};
+
+impl Driven {
+    /// A proxy asks for a write, with an id of its own made now.
+    fn proxy_asks(&mut self, stream: u64) -> Vec<Effect> {
+        let bits = u128::from(self.now.0 / 1_000_000) << 80 | 7 << 76 | 2 << 62 | u128::from(stream);
+        let (id, deadline) = (WriteId::new(bits), self.now.plus(Time::ms(900)));
+        let (class, tenant, group) = (ClassId(4), TenantId(0), GroupId(2));
+        let (floor, lead) = (Time(0), Time(0));
+        let call = Call { id, class, tenant, group, deadline, floor, lead, repeat: false };
+        self.input(Input::Proxy(StreamId(stream), Spoken::Ask(call)))
+    }
+
+    fn proxy_tells(&mut self, stream: u64, lease: LeaseId, told: Told, role: Role) -> Vec<Effect> {
+        let standing = Standing { position: Some(self.now), role: Some(role) };
+        self.input(Input::Proxy(StreamId(stream), Spoken::Told(lease, told, standing)))
+    }
+}
+
+fn named(effects: &[Effect]) -> Option<(LeaseId, SocketAddr, Time)> {
+    effects.iter().find_map(|e| match e {
+        Effect::Proxy(_, Say::Member(lease, _, by), Some(addr)) => Some((*lease, *addr, *by)),
+        _ => None,
+    })
+}
+
+#[test]
+fn proxies_and_clients_are_served_by_one_module_with_one_set_of_books() {
+    let mut d = Driven::new();
+    assert!(d.proxy_asks(1).is_empty(), "off unless it is switched on");
+    d.pass(10);
+    d.router.serve_proxies(d.now, DESK);
+    d.pass(10);
+    let (lease, addr, by) = named(&d.proxy_asks(1)).expect("a member");
+    assert_eq!((addr, by), (PRIMARY.parse().unwrap(), d.now.plus(Time::ms(200))));
+    assert!(d.proxy_tells(1, lease, Told::Served, Role::Primary).is_empty());
+    assert_eq!(d.router.desk_books(), (0, 0, 1));
+    // What a proxy hears of a member counts for clients: this one is the primary no longer.
+    let (lease, ..) = named(&d.proxy_asks(2)).expect("a member");
+    d.proxy_tells(2, lease, Told::Miss, Role::Replica);
+    let effects = d.ask(1, "write", "");
+    assert!(begun(&effects).iter().all(|b| b.1 != PRIMARY.parse().unwrap()), "{effects:?}");
+}
+
+#[test]
+fn a_lease_that_nobody_tells_of_ends_with_its_request_and_its_member_is_not_waited_for() {
+    let mut d = Driven::new();
+    d.router.serve_proxies(d.now, DESK);
+    d.pass(10);
+    let (lease, ..) = named(&d.proxy_asks(1)).expect("a member");
+    assert_eq!(d.router.desk_books(), (1, 1, 1));
+    let effects = d.pass(900);
+    let failed = |e: &&Effect| matches!(e, Effect::Proxy(StreamId(1), Say::Failed, None));
+    assert_eq!(effects.iter().filter(failed).count(), 1, "{effects:?}");
+    assert!(d.proxy_tells(1, lease, Told::NotSent, Role::Primary).is_empty());
+    d.input(Input::Proxy(StreamId(1), Spoken::Gone));
+    assert_eq!(d.router.desk_books(), (0, 0, 1));
+    d.pass(11_000);
+    assert_eq!(d.router.desk_books(), (0, 0, 0), "the id is forgotten once it is too old to be asked for");
+}
+
+#[test]
+fn a_decision_holds_no_longer_than_its_members_grace() {
+    let mut d = Driven::new();
+    d.router.serve_proxies(d.now, DESK);
+    d.input(Input::List(hosts(2, false, &[("s-1", PRIMARY, "leaving", "source")])));
+    let told = d.now;
+    d.pass(900);
+    if let Some((_, addr, by)) = named(&d.proxy_asks(1)) {
+        assert_eq!(addr, PRIMARY.parse().unwrap());
+        assert!(by <= told.plus(Time::ms(1000)), "{by:?}");
+        assert!(by < d.now.plus(Time::ms(200)), "the grace binds, not the usual time");
+    } else {
+        panic!("within the grace the primary still takes writes");
+    }
+    d.pass(200);
+    assert!(named(&d.proxy_asks(2)).is_none_or(|n| n.1 != PRIMARY.parse().unwrap()), "and none after it");
+}
