--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -290,8 +290,10 @@
         // proof.
         More::Closing if hub.farewell.get() => {
             seat.slot.stage.set(Stage::Leaving(Instant::now()));
-            if write(stream, &[&client::fatal("57P01", "closed between two requests")]).await.is_ok() {
-                io::part(hub, stream, future::pending()).await;
+            let told = write(stream, &[&client::fatal("57P01", "closed between two requests")]).await.is_ok();
+            // One that makes room for another is not waited for.
+            if told && !slot.ended.get() {
+                io::part(hub, stream, slot.until(|| slot.ended.get().then_some(()))).await;
             }
             Err(Over)
         }
--- a/crates/session/src/sessions.rs
+++ b/crates/session/src/sessions.rs
@@ -337,6 +337,15 @@
         (self.book, self.initial) = (book, initial);
     }
 
+    /// The process is about to end: what is still out is in doubt, and the book says so.
+    pub(crate) fn settle(&mut self, now: Time) {
+        let Some(plan) = &self.plan else { return };
+        let settled = now.plus(plan.settle).plus(self.skew(plan));
+        for (group, key) in self.unsettled.keys() {
+            self.book.raise(*group, *key, settled);
+        }
+    }
+
     /// Writes that are out, by group and session.
     pub fn unsettled(&self) -> usize {
         self.unsettled.len()
--- a/crates/session/tests/book.rs
+++ b/crates/session/tests/book.rs
@@ -101,8 +101,8 @@
 
 #[test]
 fn a_snapshot_of_a_stop_in_good_order_bridges_the_restart() {
-    let before = router(StandIn::Router, &[(1, at(5000)), (2, at(9000))]);
-    let bytes = write(&before, at(10_000), "n1");
+    let mut before = router(StandIn::Router, &[(1, at(5000)), (2, at(9000))]);
+    let bytes = write(&mut before, at(10_000), "n1");
     let now = at(12_000);
     let fresh = |bytes: &[u8], name, age| {
         let mut after = Sessions::new(now, Tokens::Carried, Some(plan(StandIn::Router)), 1 << 12, 77);
@@ -156,6 +156,19 @@
     assert_eq!(sessions.take_counts().unknown_writes, 1);
 }
 
+#[test]
+fn a_write_that_is_out_as_the_process_ends_is_in_doubt_after_it() {
+    let plan = Plan { settle: Time::ms(2000), ..plan(StandIn::Router) };
+    let mut before = Sessions::new(START, Tokens::Carried, Some(plan.clone()), 1 << 12, 5);
+    before.begin(at(9_900), &asked(1, at(0)), true);
+    let bytes = write(&mut before, at(10_000), "n1");
+    let mut after = Sessions::new(at(10_500), Tokens::Carried, Some(plan), 1 << 12, 77);
+    assert_eq!(restore(&mut after, at(10_500), "n1", DAY, &bytes), Ok(()));
+    assert_eq!(floor(&mut after, at(11_000), 1), at(11_005), "it may have committed by now");
+    assert_eq!(floor(&mut after, at(20_000), 1), at(12_005), "it has, or never will");
+    assert_eq!(floor(&mut after, at(20_000), 2), at(2_005), "others' floor is the start's");
+}
+
 #[test]
 fn a_full_book_raises_the_floors_of_those_forgotten_and_leaves_the_rest() {
     let writes: Vec<(u64, Time)> = (0..5000).map(|n| (n, at(n))).collect();
