--- a/crates/session/src/snapshot.rs
+++ b/crates/session/src/snapshot.rs
@@ -46,8 +46,8 @@
     }
 }
 
-/// Writes down what is remembered, as the process ends. Writes that are still out go down as in doubt: they may
-/// commit after it.
+/// Writes down what is remembered, as the process ends. Writes that are still out go down as in doubt: they
+/// may commit after it.
 pub fn write(sessions: &mut Sessions, now: Time, router: &str) -> Vec<u8> {
     sessions.settle(now);
     let (book, initial) = sessions.remembered();
