Client library: a connection is looked at before a statement goes out on it

Need: under a loaded machine two of 160 writes met a connection that had ended unheard and were told MayHaveRun; the test called that a failure. Change: the driver looks at an idle connection first; one that has ended takes nothing, which proves that nothing ran.

--- a/crates/client/src/driver.rs
+++ b/crates/client/src/driver.rs
@@ -229,6 +229,19 @@
 }
 
 impl Driven {
+    /// Closes a connection's socket. Its task may be the one that runs just now: it finds out by itself.
+    fn let_go(&self, id: ConnId) {
+        let Some(wire) = self.conns.borrow_mut().remove(&id) else { return };
+        if let Some(stream) = wire.stream.borrow_mut().take() {
+            let _ = stream.get_ref().shutdown(std::net::Shutdown::Both);
+        }
+        wake(&wire.more);
+        let task = wire.task.borrow_mut().take();
+        if let Some(task) = task {
+            task.detach();
+        }
+    }
+
     /// Does what the core asks for.
     fn carry_out(self: &Rc<Driven>) {
         loop {
@@ -248,6 +261,15 @@
                 }
                 Action::Write(id, bytes, until) => {
                     let Some(wire) = self.conns.borrow().get(&id).cloned() else { continue };
+                    // What has ended, or says something unasked, is found out before a statement goes out on
+                    // it: then it is known not to have run.
+                    let quiet =
+                        wire.stream.borrow().as_ref().is_none_or(|s| until.is_none() || silent(s.get_ref()));
+                    if !quiet {
+                        self.let_go(id);
+                        self.core.borrow_mut().lost(Instant::now(), id, Lost::Broken);
+                        continue;
+                    }
                     wire.out.borrow_mut().push_back(Pending { bytes, at: 0, until });
                     // Mostly the system takes it at once; the connection's task writes the rest.
                     if let Some(stream) = wire.stream.borrow().as_ref() {
@@ -259,17 +281,7 @@
                     }
                 }
                 Action::Close(id) => {
-                    // Dropping the task drops its socket. The task may be the one that runs just now.
-                    let wire = self.conns.borrow_mut().remove(&id);
-                    if let Some(wire) = wire {
-                        if let Some(stream) = wire.stream.borrow_mut().take() {
-                            let _ = stream.get_ref().shutdown(std::net::Shutdown::Both);
-                        }
-                        wake(&wire.more);
-                        if let Some(task) = wire.task.borrow_mut().take() {
-                            task.detach();
-                        }
-                    }
+                    self.let_go(id);
                 }
                 Action::Done(id, report) => {
                     count(&report);
@@ -287,6 +299,11 @@
     }
 }
 
+/// Whether a connection is open and has nothing to say.
+fn silent(stream: &TcpStream) -> bool {
+    matches!(stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
+}
+
 fn wake(waker: &RefCell<Option<Waker>>) {
     if let Some(waker) = waker.borrow_mut().take() {
         waker.wake();
