Tests hold the program to what the platform asks of the process that it runs

tests/platform.rs reads what the program loads, serves, reloads and restarts under a system-call filter that refuses what the platform refuses, and looks at its threads, its children and its memory.

--- /dev/null
+++ b/crates/router/tests/platform.rs
@@ -0,0 +1,150 @@
+//! What the platform asks of the one process that `run` starts, held without the platform: what it loads,
+//! which calls it can do without, what it starts, and that it rests when nothing is asked of it.
+
+use basalthill_standin::client::{Answer, Client};
+use basalthill_standin::fleet::{Load, Way, World};
+use basalthill_standin::group::Manner;
+use basalthill_standin::PATIENCE;
+use object::read::elf::{Dyn, ElfFile64, FileHeader, ProgramHeader};
+use object::{elf, Endianness};
+use seccompiler::{
+    BpfProgram, SeccompAction, SeccompCmpArgLen, SeccompCmpOp, SeccompCondition, SeccompFilter, SeccompRule,
+};
+use std::collections::BTreeMap;
+use std::fs;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_basalthill");
+
+#[test]
+fn the_program_is_linked_dynamically_against_the_c_library() {
+    let bytes = fs::read(PROGRAM).unwrap();
+    let file = ElfFile64::<Endianness>::parse(&*bytes).unwrap();
+    let (header, endian) = (file.elf_header(), file.endian());
+    let segments = header.program_headers(endian, &*bytes).unwrap();
+    assert!(segments.iter().any(|s| s.p_type(endian) == elf::PT_INTERP), "no loader is named");
+    let sections = header.sections(endian, &*bytes).unwrap();
+    let (dynamic, strings) = sections.dynamic(endian, &*bytes).unwrap().unwrap();
+    let strings = sections.strings(endian, &*bytes, strings).unwrap();
+    let needed: Vec<String> = dynamic
+        .iter()
+        .filter(|d| d.d_tag.get(endian) == elf::DT_NEEDED)
+        .map(|d| String::from_utf8_lossy(d.string(endian, strings).unwrap()).into_owned())
+        .collect();
+    assert!(needed.iter().any(|n| n == "libc.so.6"), "{needed:?}");
+    let known = ["libc.so.6", "libgcc_s.so.1", "libm.so.6", "ld-linux-x86-64.so.2", "ld-linux-aarch64.so.1"];
+    let others: Vec<_> = needed.iter().filter(|n| !known.contains(&n.as_str())).collect();
+    assert!(others.is_empty(), "it loads {others:?} too, which has to be there");
+}
+
+/// A filter for this thread and all that it starts. Each rule's calls answer with the error.
+fn refuse(error: i32, calls: Vec<(i64, Vec<SeccompRule>)>) {
+    let (rules, arch) = (BTreeMap::from_iter(calls), std::env::consts::ARCH.try_into().unwrap());
+    let filter =
+        SeccompFilter::new(rules, SeccompAction::Allow, SeccompAction::Errno(error as u32), arch).unwrap();
+    let program: BpfProgram = filter.try_into().unwrap();
+    seccompiler::apply_filter(&program).unwrap();
+}
+
+/// A rule that holds if an argument, under a mask, has a value or has not.
+fn rule(argument: u8, mask: u64, same: bool, value: u64) -> Vec<SeccompRule> {
+    let op = if same { SeccompCmpOp::MaskedEq(mask) } else { SeccompCmpOp::Ne };
+    let condition = SeccompCondition::new(argument, SeccompCmpArgLen::Dword, op, value).unwrap();
+    vec![SeccompRule::new(vec![condition]).unwrap()]
+}
+
+/// What the bench's library refuses on the days of the whole fleet. A process may be begun as `posix_spawn`
+/// does (the tests begin the router so), but not by a plain fork; nothing but IPv4 has sockets.
+fn as_on_the_platform() {
+    let (thread, vfork) = (libc::CLONE_THREAD as u64, libc::CLONE_VFORK as u64);
+    let fork = rule(0, thread | vfork, true, 0);
+    refuse(libc::EAFNOSUPPORT, vec![(libc::SYS_socket, rule(0, 0, false, libc::AF_INET as u64))]);
+    refuse(libc::EINVAL, vec![(libc::SYS_splice, vec![])]);
+    let calls = [
+        libc::SYS_io_uring_setup,
+        libc::SYS_io_uring_enter,
+        libc::SYS_io_uring_register,
+        libc::SYS_sendfile,
+        libc::SYS_clone3,
+    ];
+    let calls = calls.into_iter().map(|call| (call, vec![]));
+    refuse(libc::ENOSYS, calls.chain([(libc::SYS_clone, fork)]).collect());
+}
+
+/// The state of each thread of a process, by its id.
+fn threads(id: u32) -> Vec<(String, char)> {
+    let tasks = fs::read_dir(format!("/proc/{id}/task")).unwrap().flatten();
+    let state = |task: &Path| {
+        let stat = fs::read_to_string(task.join("stat")).ok()?;
+        stat.rsplit_once(") ")?.1.chars().next()
+    };
+    tasks.filter_map(|t| Some((t.file_name().into_string().ok()?, state(&t.path())?))).collect()
+}
+
+/// The processes that another has started.
+fn children(id: u32) -> Vec<String> {
+    let stats = fs::read_dir("/proc").unwrap().flatten().map(|d| d.path().join("stat"));
+    let parent = |stat: &str| stat.rsplit_once(") ")?.1.split(' ').nth(1)?.parse::<u32>().ok();
+    stats.filter_map(|s| fs::read_to_string(s).ok()).filter(|s| parent(s) == Some(id)).collect()
+}
+
+fn ask(world: &World, n: usize) {
+    let mut client = Client::connect(world.routers[0].addr).unwrap();
+    let text = format!("SELECT v FROM records WHERE k = 'a' /* id=a{n},c=view,t=acme,d=900,cluster=2 */");
+    assert!(matches!(client.ask(&text), Ok(Answer::Row(_))), "request {n}");
+}
+
+#[test]
+fn it_serves_reloads_and_stops_without_what_the_platform_refuses() {
+    let play = || {
+        as_on_the_platform();
+        assert!(std::net::TcpListener::bind("[::1]:0").is_err(), "the filter is in force");
+        assert!(std::os::unix::net::UnixDatagram::unbound().is_err(), "the filter is in force");
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
+        let mut world = World::start(Path::new(PROGRAM), folder, 1, Manner::default(), None).unwrap();
+        ask(&world, 0);
+        let load = Load { way: Way::Pooled, sessions: 16, reads: 600, status_every: 8, rest_us: 0, seed: 24 };
+        assert!(world.play(&load, 0, &[]).reads >= 600);
+        let id = world.routers[0].id();
+        assert!(children(id).is_empty(), "{:?}", children(id));
+        assert!(threads(id).len() <= 8, "{:?}", threads(id));
+        world.routers[0].signal("HUP").unwrap();
+        assert!(world.routers[0].said("configuration: read again").is_some());
+        ask(&world, 1);
+        assert!(children(id).is_empty(), "{:?}", children(id));
+        world.routers[0].stop_and_restart().unwrap();
+        assert!(world.routers[0].said("stopped").is_some());
+        ask(&world, 2);
+    };
+    // A thread of its own: the filter stays with it, and with what it starts.
+    std::thread::spawn(play).join().unwrap();
+}
+
+#[test]
+fn a_router_that_is_asked_nothing_has_no_thread_that_goes_on() {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let world = World::start(Path::new(PROGRAM), folder, 1, Manner::default(), None).unwrap();
+    ask(&world, 0);
+    let (id, until) = (world.routers[0].id(), Instant::now() + PATIENCE);
+    let mut seen = BTreeMap::new();
+    while seen.values().any(|waits| !waits) || seen.is_empty() {
+        assert!(Instant::now() < until, "threads that were never seen to wait: {seen:?}");
+        for (thread, state) in threads(id) {
+            *seen.entry(thread).or_insert(false) |= state == 'S';
+        }
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+#[test]
+fn requests_that_have_ended_leave_no_memory_behind() {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let mut world = World::start(Path::new(PROGRAM), folder, 1, Manner::default(), None).unwrap();
+    let load = |seed| Load { way: Way::Pooled, sessions: 16, reads: 3000, status_every: 8, rest_us: 0, seed };
+    world.play(&load(1), 0, &[]);
+    let before = world.routers[0].resident_kib().unwrap();
+    (2..5).for_each(|seed| drop(world.play(&load(seed), 0, &[])));
+    let after = world.routers[0].resident_kib().unwrap();
+    assert!(after < before + 1024, "{before} KiB after 3,000 reads, {after} KiB after 12,000");
+}
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -105,6 +105,11 @@
         Ok(())
     }
 
+    /// Its process's id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends it a signal.
     pub fn signal(&self, name: &str) -> io::Result<()> {
         let id = self.child.id().to_string();
