Members that left long ago cost nothing; hundreds of routers connect, probe and refuse less

At fault: Policy::list kept each of some 450 members that had left in its group's index, and pump and choose go through it a hundred times a second for each held request. They leave the index 30 s after their parting.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -260,6 +260,7 @@
         max_attempts: t.bounds.max_attempts,
         second_copies: t.bounds.parallel_tries,
         cancel: t.bounds.cancel,
+        conn_idle: Time(t.bounds.conn_idle),
         probes: t.bounds.probes,
         retry_after: t.bounds.retry_after,
         max_retry_after: Time(t.bounds.max_retry_after),
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -185,6 +185,8 @@
     pub second_copies: bool,
     /// Attempts may be cancelled.
     pub cancel: bool,
+    /// A connection that has idled for longer is closed by its host.
+    pub conn_idle: Time,
     /// Probes are allowed.
     pub probes: bool,
     /// Clients are told when to come back.
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -17,7 +17,9 @@
 const COOLDOWN: Time = Time::ms(1000); // for transport failures or silence
 const SILENT_LEAST: Time = Time::ms(250); // no attempt is overdue before this
 const FULL_REST: Time = Time::ms(100); // rest of a full member; a connect that fails sooner was refused
-const SHORT_FOR: Time = Time::ms(10_000); // after a failed connect, idle connections are closed for this long
+const WANT_WITHIN: Time = Time::ms(1000); // one heard so soon after it refused a connect is up and out of them:
+const SHORT_FOR: Time = Time::ms(10_000); // idle connections are closed for this long
+const PARTED: Time = Time::ms(30_000); // so long after its parting was told, nothing of a member is looked at
 const SCOUT_EVERY: Time = Time::ms(40); // pace of the search for a primary
 const START_HOLD: Time = Time::ms(250); // a started router holds reads for its probes no longer
 
@@ -38,7 +40,9 @@
 const HOLD_SHARE: f64 = 0.5; // and so is one that no member has had by this share of its client's time
 const SILENT_TIMES: f64 = 6.0; // an attempt out for this many own times is overdue
 const REPEAT_WORTH: f64 = 0.5; // worth of a marked repeat, at least, as a share of a first try's
-const PROBE_SHARE: f64 = 0.3; // probes that a request earns its router
+const PROBE_SHARE: f64 = 0.1; // probes that a request earns its router
+const LEAN: f64 = 1.0; // of many routers, each leans on members that it holds a connection to,
+const HELD_SHARE: f64 = 0.7; // which it does for about this share of the longest idle time
 const FEW_ROUTERS: f64 = 4.0; // more than these spread their searches and trials out
 const LONG_TIMES: f64 = 4.0; // an any-read past this many times the shortest class's own time is long
 const ZONE_TIMES: f64 = 30.0; // bias against crossing zones, times its price
@@ -47,6 +51,7 @@
 const COLD_SHARE: f64 = 0.75; // part of the fall multiple used at a cold member
 const COLD_LEAST: f64 = 0.8; // work per second that it gets from all routers, if none has served anything
 const SERVED_OVER_S: f64 = 60.0; // memory of a router's own rate: long, or a jam starves the cold
+const ASKED_OVER_S: f64 = 10.0; // and of what it is asked for: short, or a rush pushes the cold over
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Why {
@@ -84,6 +89,8 @@
     errors: (f64, Time),
     answered: Time,
     rest: Time,
+    refused: Time,
+    lean: f64,
     probe: Option<Time>,
     asked: Time,
     refreshed: Time,
@@ -163,15 +170,17 @@
     members: BTreeMap<MemberId, Member>,
     jobs: BTreeMap<RequestId, Job>,
     held: BTreeSet<(GroupId, RequestId)>,
-    base: Vec<f64>,          // own time of each class, in seconds
-    usual: Vec<(Time, u32)>, // time left that most clients of each class come with, and its votes
+    base: Vec<f64>,               // own time of each class, in seconds
+    usual: Vec<[(Time, u32); 3]>, // times left that many clients of each class come with, and their votes
     margin: Time,
     groups: BTreeMap<GroupId, Vec<MemberId>>,
     probes: f64, // that may still be sent
     next: Time,  // of the timer that counts
     asked: Time,
-    short: Time,             // when a connect failed last
-    served: (f64, Time),     // work, fading
+    short: Time,         // when a member that is up was last known to want for connections
+    served: (f64, Time), // work, fading
+    wanted: BTreeMap<GroupId, [(f64, Time); 2]>, // work asked for, fading: what replicas may do, and the rest
+    wanted_all: [(f64, Time); 2],
     waits: [(f64, Time); 2], // mean wait at replicas and at primaries
     weight: f64,             // of all members listed
     stood: Time,             // how long this router itself stood still before this round, beyond its sweeps
@@ -183,7 +192,7 @@
         let bound = |c: &Class| if let Consistency::Bounded(bound) = c.consistency { bound } else { MARGIN };
         let margin = set.classes.iter().map(bound).max().unwrap_or(MARGIN).max(MARGIN);
         let base: Vec<f64> = set.classes.iter().map(|c| c.aim.secs() * 0.2).collect();
-        let usual = vec![(Time(0), 0); base.len()];
+        let usual = vec![[(Time(0), 0); 3]; base.len()];
         let (next, weight) = (Time(u64::MAX), 1.0);
         Policy { set, random: seed, margin, base, usual, next, weight, ..Policy::default() }
     }
@@ -227,10 +236,12 @@
             }
         }
         let shortest = self.base.iter().copied().fold(f64::MAX, f64::min);
+        // A few routers probe a newcomer at once; many would do so all together.
+        let asked = if self.few() < 1.0 { self.now } else { Time(0) };
         for e in entries {
-            let dither = dice(&mut self.random) * shortest;
-            let m = self.members.entry(e.member);
-            let m = m.or_insert_with(|| Member { cap: CAP_START, dither, ..Member::default() });
+            let lean = dice(&mut self.random);
+            let (m, dither) = (self.members.entry(e.member), lean * shortest);
+            let m = m.or_insert_with(|| Member { cap: CAP_START, dither, lean, asked, ..Member::default() });
             (m.group, m.zone) = (e.group, e.zone);
             m.weight = if self.set.weights && e.weight > 0.0 { e.weight } else { 1.0 };
             if e.started > m.started {
@@ -250,8 +261,10 @@
                 m.role = Some((Role::Primary, as_of));
             }
         }
+        // Members come and go for weeks: a group that kept all would cost each request more than the one before.
         self.groups.clear();
-        for (id, m) in &self.members {
+        let parted = |m: &Member| m.draining.is_some_and(|at| self.now.since(at) > PARTED);
+        for (id, m) in self.members.iter().filter(|(_, m)| m.in_flight > 0 || !parted(m)) {
             self.groups.entry(m.group).or_default().push(*id);
         }
         let there = self.members.values().filter(|m| m.draining.is_none());
@@ -300,6 +313,15 @@
         ids.filter_map(|id| self.members.get(id).map(|m| (*id, m)))
     }
 
+    /// What a connection that is not there weighs. A router that meets a group seldom would else open, and let
+    /// lapse, one to each member: of many routers each keeps to its own part of the group, drawn by itself, so
+    /// that the parts cover it evenly, and goes beyond when more are in flight or answers come late there.
+    fn lean(&self, m: &Member) -> f64 {
+        let held = self.now.since(m.answered) < self.set.conn_idle.times(HELD_SHARE);
+        let weight = if held { 0.0 } else { 1.0 - self.few() };
+        weight * (LEAN + m.lean)
+    }
+
     /// Part of what one of a few routers would do alone, so that all together do no more.
     fn few(&self) -> f64 {
         (FEW_ROUTERS / f64::from(self.set.routers)).min(1.0)
@@ -378,17 +400,43 @@
             }
         }
         let stale = self.set.when_behind == WhenBehind::Answers && !self.passes(job, id, m, false);
-        !stale && (self.warmth(m) >= 1.0 || self.credit(m) >= 0.0)
+        let drawn = || dice(&mut { job.req.id.0 }) < self.cold_part(job, id, m);
+        !stale && (self.warmth(m) >= 1.0 || self.credit(m) >= 0.0 || drawn())
+    }
+
+    /// The part of what it is asked for in a cold member's group that one of many routers sends there. One that
+    /// meets a group every few seconds can't save up for a request while the member is cold; parts add up as
+    /// rates do. The group is taken to ask for as much as others, or more if it does so here, and all of it to
+    /// come to this member: which of the others still take something a thinly used router can't know.
+    fn cold_part(&self, job: &Job, id: MemberId, m: &Member) -> f64 {
+        let class = self.set.classes[job.c].consistency;
+        let needs = usize::from(matches!(class, Consistency::Write | Consistency::Fresh));
+        if needs == 0 && Some(id) == self.primary(m.group) {
+            return 0.0;
+        }
+        let there = self.wanted.get(&m.group).map_or(0.0, |a| self.faded(a[needs], ASKED_OVER_S));
+        let mean = self.faded(self.wanted_all[needs], ASKED_OVER_S) / self.groups.len().max(1) as f64;
+        let asked = there.max(mean) / self.over(ASKED_OVER_S);
+        let part = COLD_SHARE * self.set.fall_multiple * self.warmth(m) * self.own(m) / asked.max(1e-9);
+        part * (1.0 - self.few())
+    }
+
+    /// The time that a figure which fades has been gathered over.
+    fn over(&self, over_s: f64) -> f64 {
+        let age = self.now.since(self.begun.unwrap_or(self.now)).secs().max(1.0);
+        over_s * (1.0 - (-age / over_s).exp())
+    }
+
+    /// This router's mean rate at a member of this weight.
+    fn own(&self, m: &Member) -> f64 {
+        self.faded(self.served, SERVED_OVER_S) / self.over(SERVED_OVER_S) * m.weight / self.weight
     }
 
     /// Work a second that this router may send to a cold member, by its least warmth and this router's rate
     /// at members. Rates add up: all routers together keep to the rule, however many they are.
     fn cold_rate(&self, m: &Member) -> f64 {
-        let age = self.now.since(self.begun.unwrap_or(self.now)).secs().max(1.0);
-        let over = SERVED_OVER_S * (1.0 - (-age / SERVED_OVER_S).exp());
-        let own = self.faded(self.served, SERVED_OVER_S) / over * m.weight / self.weight;
         let least = COLD_LEAST / f64::from(self.set.routers).max(FEW_ROUTERS);
-        (own * COLD_SHARE * self.set.fall_multiple * self.warmth(m)).max(least)
+        (self.own(m) * self.few() * COLD_SHARE * self.set.fall_multiple * self.warmth(m)).max(least)
     }
 
     /// What a cold member may be sent by now; each router begins at another point of its first wait.
@@ -489,7 +537,8 @@
             // One that fails fast looks least loaded: its share of failures weighs against it.
             let sound = (1.0 - self.faded(m.errors, ERROR_FADE_S)).max(0.1);
             let slow = (1.0 + self.wait(m) / own).max(0.5) / (sound * sound);
-            let mut cost = (f64::from(m.in_flight) + 0.5 + noise) * slow / (m.weight * self.warmth(m));
+            let lean = self.lean(m);
+            let mut cost = (f64::from(m.in_flight) + 0.5 + noise + lean) * slow / (m.weight * self.warmth(m));
             cost *= if m.zone == self.set.zone { 1.0 } else { 1.0 + ZONE_TIMES * self.set.price_cross_zone };
             cost *= if m.breaker == Breaker::Closed { 1.0 } else { 0.5 }; // what is behind serves any-reads
             let far = if lag > MARGIN.secs() { lag } else { 0.0 };
@@ -552,23 +601,44 @@
             Consistency::Session => req.floor,
             _ => Time(0),
         };
-        // Most clients of a class come with the same time left (told by vote); one with less has waited for a
-        // router that stood still, or through an earlier try, and its aim runs from then on.
         let (id, left) = (req.id, req.give_up.since(self.now));
-        let (usual, votes) = &mut self.usual[c];
-        let near = left.since(*usual).max(usual.since(left)) < self.set.tick.times(3.0);
-        match (near, *votes) {
-            (true, n) => *votes = n + 1,
-            (false, 0) => (*usual, *votes) = (left, 1),
-            (false, n) => *votes = n - 1,
-        }
-        let (arrived, untried) = (self.now.minus(usual.since(left)), self.now.plus(left.times(HOLD_SHARE)));
         let worth = class.worth * if req.repeat { class.late_worth.max(REPEAT_WORTH) } else { 1.0 };
+        let needs = usize::from(matches!(class.consistency, Consistency::Write | Consistency::Fresh));
+        let (arrived, untried) = (self.now.minus(self.age(c, left)), self.now.plus(left.times(HOLD_SHARE)));
+        self.ask(req.group, needs, self.base[c]);
         self.earn(PROBE_SHARE);
         self.jobs.insert(id, Job { req, c, arrived, untried, floor, worth, tries: Vec::new() });
         self.place(id, out);
     }
 
+    /// How long ago a request was asked first. Many clients of a class come with the same times left (found by
+    /// votes, those with a quarter of all); one with another and less has waited for a router that stood
+    /// still, or through an earlier try, and its aim runs from then on.
+    fn age(&mut self, c: usize, left: Time) -> Time {
+        let (votes, near) = (&mut self.usual[c], self.set.tick.times(3.0));
+        let same = |v: &(Time, u32)| v.1 > 0 && left.since(v.0).max(v.0.since(left)) < near;
+        if let Some(v) = votes.iter_mut().find(|v| same(v)) {
+            v.1 += 1;
+            return Time(0);
+        }
+        match votes.iter_mut().find(|v| v.1 == 0) {
+            Some(v) => *v = (left, 1),
+            None => votes.iter_mut().for_each(|v| v.1 -= 1),
+        }
+        votes.iter().max_by_key(|v| v.1).map_or(Time(0), |v| v.0.since(left))
+    }
+
+    /// Counts work that is asked for.
+    fn ask(&mut self, group: GroupId, needs: usize, work: f64) {
+        if self.groups.contains_key(&group) {
+            let before = self.wanted.get(&group).map_or((0.0, self.now), |a| a[needs]);
+            let (there, all) =
+                (self.faded(before, ASKED_OVER_S), self.faded(self.wanted_all[needs], ASKED_OVER_S));
+            self.wanted.entry(group).or_default()[needs] = (there + work, self.now);
+            self.wanted_all[needs] = (all + work, self.now);
+        }
+    }
+
     /// Sends a request on, holds it, or gives it up.
     fn place(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
         let Some(job) = self.jobs.remove(&id) else { return true };
@@ -638,13 +708,14 @@
             }
         }
         self.judge(&o, class, sent, out);
-        // Refused connects may be for want of connections: idle ones are closed, so that others find room.
-        let refused = o.status == Status::ConnectFailed && o.took < FULL_REST;
-        let all = refused && now.since(self.short) > SHORT_FOR.times(0.1);
-        self.short = if refused { now } else { self.short };
-        if self.short > Time(0) && now.since(self.short) < SHORT_FOR {
-            let idle = self.members.iter().filter(|(id, m)| m.in_flight == 0 && (all || **id == o.member));
-            out.extend(idle.map(|(id, _)| Action::CloseIdle(*id)));
+        if let Some(m) = self.members.get_mut(&o.member) {
+            let refused = o.status == Status::ConnectFailed && o.took < FULL_REST;
+            m.refused = if refused { now } else { m.refused };
+            let idle = m.in_flight == 0 && self.short > Time(0) && now.since(self.short) < SHORT_FOR;
+            out.extend(idle.then_some(Action::CloseIdle(o.member)));
+            if matches!(o.status, Status::Ok | Status::Miss) {
+                self.wants(o.member, out);
+            }
         }
         if o.ended {
             self.forget(o.request, out);
@@ -656,6 +727,18 @@
         }
     }
 
+    /// A member that answers right after it refused a connect is up and wants for connections, as neither a
+    /// dead one nor one cut off does: idle ones are closed for a while, so that others find room.
+    fn wants(&mut self, id: MemberId, out: &mut Vec<Action>) {
+        let Some(m) = self.members.get_mut(&id) else { return };
+        let refused = std::mem::take(&mut m.refused);
+        if refused > Time(0) && self.now.since(refused) < WANT_WITHIN {
+            self.short = self.now;
+            let idle = self.members.iter().filter(|(_, m)| m.in_flight == 0);
+            out.extend(idle.map(|(id, _)| Action::CloseIdle(*id)));
+        }
+    }
+
     /// What an attempt's end says of its member.
     fn judge(&mut self, o: &Outcome, class: Option<usize>, sent: Time, out: &mut Vec<Action>) {
         let now = self.now;
@@ -720,6 +803,7 @@
             let aged = |times| now.minus(REPORT_AGE.times(times));
             self.learn(id, Standing { position: None, ..report }, aged(2.0));
             self.learn(id, Standing { role: None, ..report }, aged(1.0));
+            self.wants(id, out);
         } else if status != Status::Error && now.since(m.answered) >= SILENT_LEAST {
             m.lost = now;
             m.missed(now, true);
@@ -758,18 +842,22 @@
         }
         // Those in doubt come first, then the one that has gone unheard for longest.
         let decides = |why| why == Why::Transport || (why == Why::Lag && self.set.probe_positions);
+        // Many leave one that lags to what it answers: a probe of each would find it behind again and again.
+        let lag = PROBE_DOUBT.times(1.0 / self.few());
+        let pace = |why| if why == Why::Lag { lag } else { PROBE_DOUBT };
         let (mut ask, mut oldest) = (Vec::new(), None);
         for (id, m) in &mut self.members {
             let unheard = now.since(m.refreshed.max(m.asked));
             match m.breaker {
                 Breaker::Open(why, until) if now >= until => m.breaker = Breaker::HalfOpen(why),
-                Breaker::HalfOpen(why) if unheard >= PROBE_DOUBT && decides(why) => ask.push(*id),
+                Breaker::HalfOpen(why) if unheard >= pace(why) && decides(why) => ask.push(*id),
                 Breaker::Closed if m.doubt && unheard >= PROBE_DOUBT => ask.push(*id),
-                Breaker::Closed => oldest = oldest.max(Some((unheard, *id))),
+                Breaker::Closed if m.draining.is_none() => oldest = oldest.max(Some((unheard, *id))),
                 _ => {}
             }
         }
-        ask.extend(oldest.filter(|o| o.0 >= PROBE_EVERY).map(|o| o.1));
+        let every = PROBE_EVERY.times(1.0 / self.few());
+        ask.extend(oldest.filter(|o| o.0 >= every).map(|o| o.1));
         ask.into_iter().for_each(|id| self.probe(id, out));
         let groups: BTreeSet<GroupId> = self.held.iter().map(|h| h.0).collect();
         for group in groups {
