What is asked for of groups that are gone goes too; one word for the primary's work

Read once more: Policy::wanted kept a row for each group ever asked for, with no time to go; it now goes with the group. What needs the primary was worked out in two places of the new code (needs). Four transport tests wrote the same three lines again (Served::with).

No choice changes.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -154,6 +154,11 @@
     }
 }
 
+/// 1 for what only the primary takes, else 0.
+fn needs(class: &Class) -> usize {
+    usize::from(matches!(class.consistency, Consistency::Write | Consistency::Fresh))
+}
+
 /// A number from 0 to 1 of the seed's sequence.
 fn dice(random: &mut u64) -> f64 {
     *random = random.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
@@ -268,6 +273,7 @@
         for (id, m) in self.members.iter().filter(|(_, m)| m.in_flight > 0 || !parted(m)) {
             self.groups.entry(m.group).or_default().push(*id);
         }
+        self.wanted.retain(|group, _| self.groups.contains_key(group));
         let there = self.members.values().filter(|m| m.draining.is_none());
         self.weight = there.map(|m| m.weight).sum::<f64>().max(1.0);
         if form == ListForm::Cached {
@@ -412,8 +418,7 @@
     /// here, and all of it to come to this member: which of the others still take something a thinly used
     /// router can't know.
     fn cold_part(&self, job: &Job, id: MemberId, m: &Member) -> f64 {
-        let class = self.set.classes[job.c].consistency;
-        let needs = usize::from(matches!(class, Consistency::Write | Consistency::Fresh));
+        let needs = needs(&self.set.classes[job.c]);
         if needs == 0 && Some(id) == self.primary(m.group) {
             return 0.0;
         }
@@ -606,7 +611,7 @@
         };
         let (id, left) = (req.id, req.give_up.since(self.now));
         let worth = class.worth * if req.repeat { class.late_worth.max(REPEAT_WORTH) } else { 1.0 };
-        let needs = usize::from(matches!(class.consistency, Consistency::Write | Consistency::Fresh));
+        let needs = needs(class);
         let (arrived, untried) = (self.now.minus(self.age(c, left)), self.now.plus(left.times(HOLD_SHARE)));
         self.ask(req.group, needs, self.base[c]);
         self.earn(PROBE_SHARE);
--- a/crates/router/tests/transport.rs
+++ b/crates/router/tests/transport.rs
@@ -71,9 +71,14 @@
 
     /// One primary, with discovery telling the same.
     fn of(host: &Host) -> Served {
+        Served::with(host, 256)
+    }
+
+    /// The same with so many descriptors.
+    fn with(host: &Host, sockets: usize) -> Served {
         let known = list(1, true, &[("s-1", host.addr, 2, "active", "source")]);
         let discovery = Discovery::start(known.clone()).unwrap();
-        Served::start(&known, discovery.addr, 256, SETTINGS)
+        Served::start(&known, discovery.addr, sockets, SETTINGS)
     }
 
     fn client(&self) -> Client {
@@ -304,9 +309,7 @@
 #[test]
 fn descriptors_are_a_budget_and_newcomers_beyond_it_are_turned_away_cleanly() {
     let host = host(|_| Reply::Held(b"x".to_vec()));
-    let known = list(1, true, &[("s-1", host.addr, 2, "active", "source")]);
-    let discovery = Discovery::start(known.clone()).unwrap();
-    let served = Served::start(&known, discovery.addr, 48, SETTINGS);
+    let served = Served::with(&host, 48);
     // 24 are kept back; of the other 24 half are for clients, and the members have the rest.
     let mut clients: Vec<Client> = (0..12).map(|_| served.client()).collect();
     for (n, client) in clients.iter_mut().enumerate() {
@@ -332,9 +335,7 @@
 #[test]
 fn clients_that_ask_once_and_hold_on_take_no_room_from_newcomers() {
     let host = host(|_| Reply::Row(b"x".to_vec()));
-    let known = list(1, true, &[("s-1", host.addr, 2, "active", "source")]);
-    let discovery = Discovery::start(known.clone()).unwrap();
-    let served = Served::start(&known, discovery.addr, 64, SETTINGS);
+    let served = Served::with(&host, 64);
     // Of 64 descriptors clients use 21 together; a router that lets them all hold on would be full by then.
     let mut held: Vec<Client> = (0..60)
         .map(|_| {
@@ -355,9 +356,7 @@
     // Found on a long day: of requests written in pieces, those beside a crowd lost their connections,
     // and the request was lost where its last piece had been written by then.
     let host = host(|_| Reply::Row(b"x".to_vec()));
-    let known = list(1, true, &[("s-1", host.addr, 2, "active", "source")]);
-    let discovery = Discovery::start(known.clone()).unwrap();
-    let served = Served::start(&known, discovery.addr, 64, SETTINGS);
+    let served = Served::with(&host, 64);
     let asks = |client: &mut Client| assert_eq!(client.ask(&text("write", "")).unwrap(), row(b"x"));
     let mut slow = [served.client(), served.client()];
     asks(&mut slow[0]);
@@ -381,9 +380,7 @@
 #[test]
 fn connections_that_say_nothing_make_room_and_are_ended_in_time() {
     let host = host(|_| Reply::Row(b"x".to_vec()));
-    let known = list(1, true, &[("s-1", host.addr, 2, "active", "source")]);
-    let discovery = Discovery::start(known.clone()).unwrap();
-    let served = Served::start(&known, discovery.addr, 48, SETTINGS);
+    let served = Served::with(&host, 48);
     let began = Instant::now();
     let mut silent: Vec<Client> = (0..100).map(|_| Client::silent(served.addr).unwrap()).collect();
     // One sends half a startup message, one half a query, one a byte now and then.
