Routing and the hub are split by what each part owns

Change: the tables of requests and probes, proxies, sessions and the words of hosts stand in files of their own; the hub's fields for clients, for discovery and for timers are three owners. No behaviour changes.

--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -3,27 +3,31 @@
 
 mod clock;
 mod members;
+mod proxies;
+mod requests;
+mod sessions;
 mod tally;
+mod terms;
 mod timers;
 
 pub use clock::Clock;
 pub use tally::Tally;
 
 use crate::protocol::discovery::HostList;
-use crate::protocol::host::{report, Ending, Row, Telling};
+use crate::protocol::host::{Ending, Row, Telling};
 use crate::protocol::statement::{Statement, StatementError};
 use basalthill_config::settings::{Reports, Site};
 use basalthill_extproc::lease::StreamId;
-use basalthill_extproc::{Call, Desk, LeaseId, Limits, Out, Say, Told};
+use basalthill_extproc::{Call, Desk, LeaseId, Say, Told};
 use basalthill_policy::api::*;
 use basalthill_policy::Policy;
-use basalthill_session::sessions::Bond;
-use basalthill_session::token::Owner;
-use basalthill_session::{Asked, Counts, Floor, Sessions, Tokens};
+use basalthill_session::{Counts, Sessions};
 use members::Members;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use requests::{Exchange, Open, Probes, Requests};
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use terms::{by_code, of_the_statement, owner, reported, unix_ms};
 use timers::{Timer, TimerKey, Timers};
 
 /// A client's connection; at most one request of it is out at a time.
@@ -143,29 +147,6 @@
     Fetch,
 }
 
-/// A request that has an answer or attempts outstanding.
-struct Open {
-    client: ClientId,
-    statement: Rc<Statement>,
-    give_up: Time,
-    group: GroupId,
-    /// What its session is known by, if it has one.
-    bond: Option<Bond>,
-    /// The floor that hosts are told.
-    floor_ms: Option<u64>,
-    answered: bool,
-    served: bool,
-    attempts: Vec<Option<Exchange>>, // None once its outcome is told
-}
-
-/// An attempt or a probe that is out.
-#[derive(Clone, Copy)]
-struct Exchange {
-    member: MemberId,
-    sent: Time,
-    timer: TimerKey,
-}
-
 /// A router without its sockets.
 pub struct Router {
     policy: Policy,
@@ -176,14 +157,9 @@
     members: Members,
     /// When each client's connection was accepted.
     accepted: BTreeMap<ClientId, Time>,
-    open: BTreeMap<RequestId, Open>,
-    by_client: BTreeMap<ClientId, RequestId>,
-    /// Ids, as clients gave them, of the requests in `open`.
-    ids: BTreeSet<Rc<[u8]>>,
-    probes: BTreeMap<u64, Exchange>,
+    requests: Requests,
+    probes: Probes,
     timers: Timers,
-    requests: u64,
-    probes_sent: u64,
     tally: Tally,
     events: VecDeque<Event>,
     actions: Vec<Action>,
@@ -208,13 +184,9 @@
             desk: None,
             members,
             accepted: BTreeMap::new(),
-            open: BTreeMap::new(),
-            by_client: BTreeMap::new(),
-            ids: BTreeSet::new(),
-            probes: BTreeMap::new(),
+            requests: Requests::default(),
+            probes: Probes::default(),
             timers: Timers::default(),
-            requests: 0,
-            probes_sent: 0,
             tally: Tally::default(),
             events: VecDeque::new(),
             actions: Vec::new(),
@@ -232,7 +204,7 @@
             Input::Request(client, statement) => self.request(now, client, statement, out),
             Input::ClientGone(client) => {
                 self.accepted.remove(&client);
-                if let Some(id) = self.by_client.remove(&client) {
+                if let Some(id) = self.requests.release(client) {
                     self.tally.left += 1;
                     self.close(now, id);
                     self.events.push_back(Event::Lapsed(id));
@@ -246,7 +218,7 @@
             Input::Proxy(stream, spoken) => self.proxy(now, stream, spoken, out),
             Input::Tick => self.due(now, out),
             Input::Shutdown => {
-                for (client, id) in std::mem::take(&mut self.by_client) {
+                for (client, id) in self.requests.release_all() {
                     self.doubtful(now, id, out);
                     self.close(now, id);
                     out.push(Effect::Answer(client, Answer::Failed));
@@ -263,16 +235,6 @@
         self.timers.next().into_iter().chain(lease).min()
     }
 
-    /// Takes calls of other proxies from now on.
-    pub fn serve_proxies(&mut self, now: Time, limits: Limits) {
-        self.desk = Some(Desk::new(now, &self.site.settings, limits));
-    }
-
-    /// Calls of proxies, their leases, and the writes remembered for them.
-    pub fn desk_books(&self) -> (usize, usize, usize) {
-        self.desk.as_ref().map_or((0, 0, 0), Desk::books)
-    }
-
     /// Whether a query may still be written to a member. The decisions keep a drain's grace when they send,
     /// but a connection can come up after it has passed.
     pub fn may_write(&self, now: Time, member: MemberId) -> bool {
@@ -282,7 +244,7 @@
 
     /// Requests without an answer.
     pub fn unanswered(&self) -> usize {
-        self.by_client.len()
+        self.requests.unanswered()
     }
 
     /// What has happened since this was last asked.
@@ -302,7 +264,7 @@
 
     /// Requests, probes and timers on the books; the decisions' own timer is among the last.
     pub fn books(&self) -> (usize, usize, usize) {
-        (self.open.len().max(self.ids.len()), self.probes.len(), self.timers.len())
+        (self.requests.rows(), self.probes.len(), self.timers.len())
     }
 
     /// Hands events to the decisions until none are left, and carries their actions over.
@@ -357,10 +319,12 @@
                         none,
                     ));
                 };
-                let number = self.probes_sent;
-                self.probes_sent += 1;
-                let timer = self.timers.add(now.plus(self.site.connect_timeout), Timer::Probe(number));
-                self.probes.insert(number, Exchange { member, sent: now, timer });
+                let (timers, due) = (&mut self.timers, now.plus(self.site.connect_timeout));
+                let number = self.probes.put(|number| Exchange {
+                    member,
+                    sent: now,
+                    timer: timers.add(due, Timer::Probe(number)),
+                });
                 let text = if self.site.reports == Reports::None { "SELECT 1" } else { "SHOW vitals" };
                 let (id, query) = (ExchangeId::Probe(number), Query::Own(text));
                 out.push(Effect::Begin(Order { id, member, addr, query }));
@@ -387,13 +351,12 @@
             return out.push(invalid("the cluster is unknown"));
         }
         // Two requests of one id could not be told apart at a host, and one would get the other's answer.
-        if self.ids.contains(statement.id()) {
+        if self.requests.has(statement.id()) {
             return out.push(invalid("the id is that of an open request"));
         }
         // A tenant that the settings don't name is one without a share.
         let tenant = named(&self.site.tenants, statement.tenant()).unwrap_or(self.site.tenants.len());
-        let id = RequestId(self.requests);
-        self.requests += 1;
+        let id = self.requests.number();
         let give_up = now.plus(Time::ms(statement.patience_ms));
         let (bond, floor) = self.session(now, client, &statement, class, group);
         let request = Request {
@@ -407,109 +370,13 @@
             repeat: statement.repeat,
         };
         let floor_ms = floor.tell.then(|| floor.at.0.div_ceil(1_000_000));
-        self.ids.insert(statement.id().into());
         let statement = Rc::from(statement);
         let (answered, served, attempts) = (false, false, Vec::new());
         let open = Open { client, statement, give_up, group, bond, floor_ms, answered, served, attempts };
-        self.open.insert(id, open);
-        self.by_client.insert(client, id);
+        self.requests.put(id, open);
         self.events.push_back(Event::Request(request));
     }
 
-    /// A proxy's word, to the desk.
-    fn proxy(&mut self, now: Time, stream: StreamId, spoken: Spoken, out: &mut Vec<Effect>) {
-        let mut said = Vec::new();
-        let Some(desk) = &mut self.desk else { return };
-        match spoken {
-            Spoken::Ask(call) => desk.ask(now, stream, call, &mut said),
-            Spoken::Told(lease, told, standing) => desk.told(now, stream, lease, told, standing, &mut said),
-            Spoken::Gone => desk.gone(now, stream, &mut said),
-        }
-        self.desk_says(said, out);
-    }
-
-    /// What the decisions do with a proxy's request. The decision holds up to a drain's grace, and a member
-    /// that nobody can reach is not named.
-    fn act_for_proxy(&mut self, now: Time, action: &Action, out: &mut Vec<Effect>) {
-        let until = match action {
-            Action::Send(_, member, _) if self.members.addr(*member).is_none() => Some(now),
-            Action::Send(_, member, _) => {
-                self.members.parting(*member).map(|told| told.plus(self.site.settings.drain_grace))
-            }
-            _ => None,
-        };
-        let mut said = Vec::new();
-        if let Some(desk) = &mut self.desk {
-            desk.act(now, action, until, &mut said);
-        }
-        self.desk_says(said, out);
-    }
-
-    fn desk_says(&mut self, said: Vec<Out>, out: &mut Vec<Effect>) {
-        for one in said {
-            match one {
-                Out::Event(event) => self.events.push_back(event),
-                Out::Say(stream, say) => {
-                    let addr = match say {
-                        Say::Member(_, member, _) => self.members.addr(member),
-                        _ => None,
-                    };
-                    out.push(Effect::Proxy(stream, say, addr));
-                }
-            }
-        }
-    }
-
-    /// What a request's session is known by, and the floor of its read.
-    fn session(
-        &mut self,
-        now: Time,
-        client: ClientId,
-        statement: &Statement,
-        class: usize,
-        group: GroupId,
-    ) -> (Option<Bond>, Floor) {
-        let consistency = self.site.settings.classes[class].consistency;
-        let write = consistency == Consistency::Write;
-        let remembers = self.sessions.planned() || self.site.tokens == Tokens::Remembered;
-        if consistency != Consistency::Session && !(write && remembers) {
-            return (None, Floor::default());
-        }
-        let tokens: Vec<&[u8]> = statement.tokens().collect();
-        let asked = Asked {
-            owner: owner(&self.sessions, statement),
-            group,
-            after: statement.after.map(unix_ms),
-            tokens: &tokens,
-            // One that nobody saw come counts as new, which is stricter.
-            accepted: self.accepted.get(&client).copied().unwrap_or(now),
-        };
-        let bond = self.sessions.begin(now, &asked, write);
-        let floor = if write { Floor::default() } else { self.sessions.floor(now, &asked, &bond) };
-        (Some(bond), floor)
-    }
-
-    /// A host has served a request: what that says of its session, and the token that goes with the answer.
-    fn served(&mut self, now: Time, id: RequestId, position: Option<Time>, out: &mut Vec<Effect>) {
-        let Some(open) = self.open.get_mut(&id) else { return };
-        let again = std::mem::replace(&mut open.served, true);
-        let Some(bond) = open.bond.as_mut().filter(|_| !again) else { return };
-        let owner = owner(&self.sessions, &open.statement);
-        let token = self.sessions.served(now, owner, open.group, bond, position);
-        out.extend(token.filter(|_| !open.answered).map(|t| Effect::Token(open.client, t)));
-    }
-
-    /// A request ends without a host's answer. A write that may have run, or may yet, leaves its session in
-    /// doubt, and its token says so.
-    fn doubtful(&mut self, now: Time, id: RequestId, out: &mut Vec<Effect>) {
-        let Some(open) = self.open.get_mut(&id).filter(|o| !o.answered && !o.served) else { return };
-        let still_out = open.attempts.iter().any(Option::is_some);
-        let Some(bond) = open.bond.as_mut().filter(|b| b.write && (b.doubt || still_out)) else { return };
-        bond.doubt = true;
-        let token = self.sessions.unknown(now, owner(&self.sessions, &open.statement), open.group, bond);
-        out.extend(token.map(|t| Effect::Token(open.client, t)));
-    }
-
     fn send(
         &mut self,
         now: Time,
@@ -520,7 +387,7 @@
     ) {
         let most = self.site.settings.max_attempts as usize;
         let addr = self.members.addr(member);
-        let Some(open) = self.open.get_mut(&id) else {
+        let Some(open) = self.requests.get_mut(id) else {
             // Ended and off the books: it goes nowhere, and that is told.
             let x = Exchange { member, sent: now, timer: TimerKey::default() };
             return self.outcome(now, id, Attempt(u16::MAX), x, Status::Moot, Telling::default());
@@ -632,39 +499,35 @@
 
     /// The final answer: the client gets it unless it has had one.
     fn answer(&mut self, now: Time, id: RequestId, answer: Answer, out: &mut Vec<Effect>) {
-        let Some(open) = self.open.get(&id).filter(|o| !o.answered) else { return };
+        let Some(open) = self.requests.get(id).filter(|o| !o.answered) else { return };
         match answer {
             Answer::Served(_) => self.tally.served += 1,
             Answer::Refused(_) => self.tally.refused += 1,
             Answer::Failed => self.tally.failed += 1,
             Answer::Invalid(_) => self.tally.invalid += 1,
         }
-        self.by_client.remove(&open.client);
-        out.push(Effect::Answer(open.client, answer));
+        let client = open.client;
+        self.requests.release(client);
+        out.push(Effect::Answer(client, answer));
         self.close(now, id);
     }
 
     /// A request has ended; its row goes once no attempt is out.
     fn close(&mut self, now: Time, id: RequestId) {
-        let Some(open) = self.open.get_mut(&id) else { return };
-        open.answered = true;
-        if open.attempts.iter().all(Option::is_none) {
-            self.ids.remove(open.statement.id());
-            if let Some(Open { group, bond: Some(bond), .. }) = self.open.remove(&id) {
-                self.sessions.end(now, group, &bond);
-            }
+        if let Some(Open { group, bond: Some(bond), .. }) = self.requests.close(id) {
+            self.sessions.end(now, group, &bond);
         }
     }
 
     /// Takes an attempt off the books, if it is out. Its request's row stays for [`Router::outcome`].
     fn take_attempt(&mut self, id: RequestId, attempt: Attempt) -> Option<Exchange> {
-        let x = self.open.get_mut(&id)?.attempts.get_mut(usize::from(attempt.0))?.take()?;
+        let x = self.requests.take_attempt(id, attempt)?;
         self.timers.cancel(x.timer);
         Some(x)
     }
 
     fn take_probe(&mut self, number: u64) -> Option<Exchange> {
-        let x = self.probes.remove(&number)?;
+        let x = self.probes.take(number)?;
         self.timers.cancel(x.timer);
         Some(x)
     }
@@ -683,10 +546,10 @@
         if let Some(position) = t.as_of {
             self.sessions.told(now, x.sent, unix_ms(position));
         }
-        if let Some(open) = self.open.get_mut(&id).filter(|o| !o.served && !status.proves_unrun()) {
+        if let Some(open) = self.requests.get_mut(id).filter(|o| !o.served && !status.proves_unrun()) {
             open.bond.iter_mut().for_each(|b| b.doubt = b.write);
         }
-        let ended = self.open.get(&id).is_none_or(|o| o.answered);
+        let ended = self.requests.get(id).is_none_or(|o| o.answered);
         if ended {
             self.close(now, id);
         }
@@ -709,76 +572,3 @@
         self.events.push_back(Event::Probed(x.member, status, now.since(x.sent), report));
     }
 }
-
-/// Whose request it is: by the name in the comment where floors are ours to make, else by the key.
-fn owner<'a>(sessions: &Sessions, statement: &'a Statement) -> Owner<'a> {
-    let name = statement.session().filter(|_| sessions.planned()).unwrap_or(statement.key());
-    Owner { name, key: SessionKey(hash(name)) }
-}
-
-/// What a load report says of its member's standing.
-fn reported(columns: &[String], text: &str) -> Standing {
-    let mut standing = Standing::default();
-    for (name, value) in report(text).filter(|(name, _)| columns.iter().any(|c| c == name)) {
-        match name {
-            // Rounded down past the error of a float of this size.
-            "x0" if value > 0.0 => {
-                standing.position = Some(Time((value * 1e6) as u64 * 1000).minus(Time(1000)))
-            }
-            "x1" => standing.role = Some(if value >= 0.5 { Role::Primary } else { Role::Replica }),
-            _ => {}
-        }
-    }
-    standing
-}
-
-fn by_code(code: &str) -> Status {
-    match code {
-        "25006" | "72000" => Status::Miss,
-        "53300" => Status::Full,
-        _ => Status::Error,
-    }
-}
-
-/// Whether an error lies in the statement, not in its host: by the standard's classes, in the protocol, the
-/// data or the syntax. It is as wrong anywhere else.
-fn of_the_statement(code: &str) -> bool {
-    code.starts_with("08P") || code.starts_with("22") || code.starts_with("42")
-}
-
-/// A Unix time in milliseconds on the decisions' clock.
-fn unix_ms(ms: u64) -> Time {
-    Time(ms.saturating_mul(1_000_000))
-}
-
-/// FNV-1a: a session's number from its key.
-fn hash(bytes: &[u8]) -> u64 {
-    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3))
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn positions_are_never_taken_higher_than_told() {
-        let columns = ["x0".to_string(), "x1".to_string()];
-        for ms in (0..2000).map(|n| 1_767_225_600_000 + n * 7919) {
-            let told = format!("x0={}.{:03},x1=0,other=3", ms / 1000, ms % 1000);
-            let standing = reported(&columns, &told);
-            let position = standing.position.expect("a position");
-            assert!(
-                position <= unix_ms(ms) && unix_ms(ms).since(position) < Time::ms(1),
-                "{told}: {position:?}"
-            );
-            assert_eq!(standing.role, Some(Role::Replica));
-        }
-        assert_eq!(reported(&columns, "x1=1").role, Some(Role::Primary));
-        assert_eq!(reported(&columns[..1], "x1=1,x0=0,x0=NaN,x0"), Standing::default());
-    }
-
-    #[test]
-    fn sessions_differ_by_their_keys() {
-        assert_ne!(hash(b"7f3a9c21e0b4d655"), hash(b"7f3a9c21e0b4d656"));
-    }
-}
--- /dev/null
+++ b/crates/router/src/routing/requests.rs
@@ -0,0 +1,136 @@
+//! The requests that have an answer or attempts outstanding, and the attempts and probes that are out. Each is
+//! put on the books once and taken off them once.
+
+use super::timers::TimerKey;
+use super::ClientId;
+use crate::protocol::statement::Statement;
+use basalthill_policy::api::*;
+use basalthill_session::sessions::Bond;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+/// A request that has an answer or attempts outstanding.
+pub struct Open {
+    pub client: ClientId,
+    pub statement: Rc<Statement>,
+    pub give_up: Time,
+    pub group: GroupId,
+    /// What its session is known by, if it has one.
+    pub bond: Option<Bond>,
+    /// The floor that hosts are told.
+    pub floor_ms: Option<u64>,
+    pub answered: bool,
+    pub served: bool,
+    pub attempts: Vec<Option<Exchange>>, // None once its outcome is told
+}
+
+/// An attempt or a probe that is out.
+#[derive(Clone, Copy)]
+pub struct Exchange {
+    pub member: MemberId,
+    pub sent: Time,
+    pub timer: TimerKey,
+}
+
+/// The requests of a router.
+#[derive(Default)]
+pub struct Requests {
+    open: BTreeMap<RequestId, Open>,
+    by_client: BTreeMap<ClientId, RequestId>,
+    /// Ids, as clients gave them, of the requests in `open`.
+    ids: BTreeSet<Rc<[u8]>>,
+    taken: u64,
+}
+
+impl Requests {
+    /// The next request's number.
+    pub fn number(&mut self) -> RequestId {
+        self.taken += 1;
+        RequestId(self.taken - 1)
+    }
+
+    /// Whether a request of this id, as its client gave it, is on the books.
+    pub fn has(&self, id: &[u8]) -> bool {
+        self.ids.contains(id)
+    }
+
+    /// Puts a request on the books.
+    pub fn put(&mut self, id: RequestId, open: Open) {
+        self.ids.insert(open.statement.id().into());
+        self.by_client.insert(open.client, id);
+        self.open.insert(id, open);
+    }
+
+    /// A request that is on the books.
+    pub fn get(&self, id: RequestId) -> Option<&Open> {
+        self.open.get(&id)
+    }
+
+    /// A request that is on the books, to be changed.
+    pub fn get_mut(&mut self, id: RequestId) -> Option<&mut Open> {
+        self.open.get_mut(&id)
+    }
+
+    /// A client no longer waits: the request that it waited for.
+    pub fn release(&mut self, client: ClientId) -> Option<RequestId> {
+        self.by_client.remove(&client)
+    }
+
+    /// No client waits any longer: all requests that were waited for.
+    pub fn release_all(&mut self) -> BTreeMap<ClientId, RequestId> {
+        std::mem::take(&mut self.by_client)
+    }
+
+    /// A request has ended; its row goes once no attempt is out. What goes is given back.
+    pub fn close(&mut self, id: RequestId) -> Option<Open> {
+        let open = self.open.get_mut(&id)?;
+        open.answered = true;
+        if open.attempts.iter().any(Option::is_some) {
+            return None;
+        }
+        self.ids.remove(open.statement.id());
+        self.open.remove(&id)
+    }
+
+    /// Takes an attempt off the books, if it is out. Its request's row stays until [`Requests::close`].
+    pub fn take_attempt(&mut self, id: RequestId, attempt: Attempt) -> Option<Exchange> {
+        self.open.get_mut(&id)?.attempts.get_mut(usize::from(attempt.0))?.take()
+    }
+
+    /// Requests without an answer.
+    pub fn unanswered(&self) -> usize {
+        self.by_client.len()
+    }
+
+    /// Rows on the books.
+    pub fn rows(&self) -> usize {
+        self.open.len().max(self.ids.len())
+    }
+}
+
+/// The probes that are out.
+#[derive(Default)]
+pub struct Probes {
+    out: BTreeMap<u64, Exchange>,
+    sent: u64,
+}
+
+impl Probes {
+    /// Puts a probe on the books; `made` is told its number.
+    pub fn put(&mut self, made: impl FnOnce(u64) -> Exchange) -> u64 {
+        let number = self.sent;
+        self.sent += 1;
+        self.out.insert(number, made(number));
+        number
+    }
+
+    /// Takes a probe off the books, if it is out.
+    pub fn take(&mut self, number: u64) -> Option<Exchange> {
+        self.out.remove(&number)
+    }
+
+    /// How many are out.
+    pub fn len(&self) -> usize {
+        self.out.len()
+    }
+}
--- /dev/null
+++ b/crates/router/src/routing/sessions.rs
@@ -0,0 +1,60 @@
+//! What requests say of their sessions, and what sessions ask of requests: floors and tokens.
+
+use super::terms::{owner, unix_ms};
+use super::{ClientId, Effect, Router};
+use crate::protocol::statement::Statement;
+use basalthill_policy::api::*;
+use basalthill_session::sessions::Bond;
+use basalthill_session::{Asked, Floor, Tokens};
+
+impl Router {
+    /// What a request's session is known by, and the floor of its read.
+    pub(super) fn session(
+        &mut self,
+        now: Time,
+        client: ClientId,
+        statement: &Statement,
+        class: usize,
+        group: GroupId,
+    ) -> (Option<Bond>, Floor) {
+        let consistency = self.site.settings.classes[class].consistency;
+        let write = consistency == Consistency::Write;
+        let remembers = self.sessions.planned() || self.site.tokens == Tokens::Remembered;
+        if consistency != Consistency::Session && !(write && remembers) {
+            return (None, Floor::default());
+        }
+        let tokens: Vec<&[u8]> = statement.tokens().collect();
+        let asked = Asked {
+            owner: owner(&self.sessions, statement),
+            group,
+            after: statement.after.map(unix_ms),
+            tokens: &tokens,
+            // One that nobody saw come counts as new, which is stricter.
+            accepted: self.accepted.get(&client).copied().unwrap_or(now),
+        };
+        let bond = self.sessions.begin(now, &asked, write);
+        let floor = if write { Floor::default() } else { self.sessions.floor(now, &asked, &bond) };
+        (Some(bond), floor)
+    }
+
+    /// A host has served a request: what that says of its session, and the token that goes with the answer.
+    pub(super) fn served(&mut self, now: Time, id: RequestId, position: Option<Time>, out: &mut Vec<Effect>) {
+        let Some(open) = self.requests.get_mut(id) else { return };
+        let again = std::mem::replace(&mut open.served, true);
+        let Some(bond) = open.bond.as_mut().filter(|_| !again) else { return };
+        let owner = owner(&self.sessions, &open.statement);
+        let token = self.sessions.served(now, owner, open.group, bond, position);
+        out.extend(token.filter(|_| !open.answered).map(|t| Effect::Token(open.client, t)));
+    }
+
+    /// A request ends without a host's answer. A write that may have run, or may yet, leaves its session in
+    /// doubt, and its token says so.
+    pub(super) fn doubtful(&mut self, now: Time, id: RequestId, out: &mut Vec<Effect>) {
+        let Some(open) = self.requests.get_mut(id).filter(|o| !o.answered && !o.served) else { return };
+        let still_out = open.attempts.iter().any(Option::is_some);
+        let Some(bond) = open.bond.as_mut().filter(|b| b.write && (b.doubt || still_out)) else { return };
+        bond.doubt = true;
+        let token = self.sessions.unknown(now, owner(&self.sessions, &open.statement), open.group, bond);
+        out.extend(token.map(|t| Effect::Token(open.client, t)));
+    }
+}
--- /dev/null
+++ b/crates/router/src/routing/terms.rs
@@ -0,0 +1,80 @@
+//! The words of hosts and statements in the decisions' terms. Nothing is remembered here.
+
+use crate::protocol::host::report;
+use crate::protocol::statement::Statement;
+use basalthill_policy::api::*;
+use basalthill_session::token::Owner;
+use basalthill_session::Sessions;
+
+/// Whose request it is: by the name in the comment where floors are ours to make, else by the key.
+pub fn owner<'a>(sessions: &Sessions, statement: &'a Statement) -> Owner<'a> {
+    let name = statement.session().filter(|_| sessions.planned()).unwrap_or(statement.key());
+    Owner { name, key: SessionKey(hash(name)) }
+}
+
+/// What a load report says of its member's standing.
+pub fn reported(columns: &[String], text: &str) -> Standing {
+    let mut standing = Standing::default();
+    for (name, value) in report(text).filter(|(name, _)| columns.iter().any(|c| c == name)) {
+        match name {
+            // Rounded down past the error of a float of this size.
+            "x0" if value > 0.0 => {
+                standing.position = Some(Time((value * 1e6) as u64 * 1000).minus(Time(1000)))
+            }
+            "x1" => standing.role = Some(if value >= 0.5 { Role::Primary } else { Role::Replica }),
+            _ => {}
+        }
+    }
+    standing
+}
+
+pub fn by_code(code: &str) -> Status {
+    match code {
+        "25006" | "72000" => Status::Miss,
+        "53300" => Status::Full,
+        _ => Status::Error,
+    }
+}
+
+/// Whether an error lies in the statement, not in its host: by the standard's classes, in the protocol, the
+/// data or the syntax. It is as wrong anywhere else.
+pub fn of_the_statement(code: &str) -> bool {
+    code.starts_with("08P") || code.starts_with("22") || code.starts_with("42")
+}
+
+/// A Unix time in milliseconds on the decisions' clock.
+pub fn unix_ms(ms: u64) -> Time {
+    Time(ms.saturating_mul(1_000_000))
+}
+
+/// FNV-1a: a session's number from its key.
+fn hash(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn positions_are_never_taken_higher_than_told() {
+        let columns = ["x0".to_string(), "x1".to_string()];
+        for ms in (0..2000).map(|n| 1_767_225_600_000 + n * 7919) {
+            let told = format!("x0={}.{:03},x1=0,other=3", ms / 1000, ms % 1000);
+            let standing = reported(&columns, &told);
+            let position = standing.position.expect("a position");
+            assert!(
+                position <= unix_ms(ms) && unix_ms(ms).since(position) < Time::ms(1),
+                "{told}: {position:?}"
+            );
+            assert_eq!(standing.role, Some(Role::Replica));
+        }
+        assert_eq!(reported(&columns, "x1=1").role, Some(Role::Primary));
+        assert_eq!(reported(&columns[..1], "x1=1,x0=0,x0=NaN,x0"), Standing::default());
+    }
+
+    #[test]
+    fn sessions_differ_by_their_keys() {
+        assert_ne!(hash(b"7f3a9c21e0b4d655"), hash(b"7f3a9c21e0b4d656"));
+    }
+}
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -1,15 +1,18 @@
 //! One client's connection.
 
-use super::budget::Permit;
+use super::budget::{Budget, Permit, LOOK_AGAIN};
 use super::{io, Hub};
 use crate::protocol::client::{self, ClientMessage, ClientSide};
 use crate::protocol::statement::Statement;
 use crate::routing::{Answer, ClientId, Input};
 use async_io::{Async, Timer};
-use basalthill_config::router::{CLIENT_FAULTS, CLIENT_QUIET, CLIENT_TAKES, CLIENT_WHOLE, LARGE};
+use basalthill_config::router::{
+    RouterConfig, CLIENT_FAULTS, CLIENT_QUIET, CLIENT_TAKES, CLIENT_WHOLE, LARGE, SOCKETS_RESERVED,
+};
 use basalthill_wire::READY;
 use futures_lite::future;
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::future::poll_fn;
 use std::io::Write;
 use std::net::TcpStream;
@@ -47,6 +50,96 @@
     ended: Cell<bool>,
 }
 
+/// How often room is looked for before a client is turned away: no longer than one that has just come may
+/// take to ask.
+const SEAT_TRIES: u32 = 8;
+
+/// The clients of a router, and what there is for them.
+pub struct Clients {
+    slots: RefCell<BTreeMap<ClientId, Rc<Slot>>>,
+    /// Their part of the descriptors.
+    seats: Budget,
+    /// From so many on, quiet ones make room for newcomers.
+    crowd: usize,
+    /// Places for those that are turned away gently.
+    pub doors: Budget,
+    /// Places for large statements.
+    large: Budget,
+    /// They are told when their connection is closed between two requests.
+    pub farewell: Cell<bool>,
+    /// Turned away, and told to go, since the log told of them.
+    turned_away: Cell<u32>,
+    dismissed: Cell<u32>,
+}
+
+impl Clients {
+    /// None yet.
+    pub fn new(config: &RouterConfig) -> Clients {
+        Clients {
+            slots: RefCell::default(),
+            seats: Budget::new(config.limits.client_descriptors()),
+            crowd: config.limits.quiet_clients(),
+            doors: Budget::new(SOCKETS_RESERVED / 3),
+            large: Budget::new(config.limits.large_statements()),
+            farewell: Cell::new(config.own.farewell),
+            turned_away: Cell::new(0),
+            dismissed: Cell::new(0),
+        }
+    }
+
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        self.slots.borrow().len()
+    }
+
+    /// Where a client's answer is left, while it is there.
+    pub fn slot(&self, client: ClientId) -> Option<Rc<Slot>> {
+        self.slots.borrow().get(&client).cloned()
+    }
+
+    /// Has them all look whether the router stops.
+    pub fn wake(&self) {
+        self.slots.borrow().values().for_each(|slot| slot.wake());
+    }
+
+    /// How many were turned away, and told to go, since this was last asked.
+    pub fn sent_away(&self) -> (u32, u32) {
+        (self.turned_away.take(), self.dismissed.take())
+    }
+
+    /// Descriptors for a client, out of the clients' part. When there are many, one that has asked nothing
+    /// makes room, or the one that has been quiet for longest; one that has only just come is given a moment,
+    /// and one in the middle of a message is ended only where there is no place at all.
+    pub async fn seat(&self, hub: &Hub) -> Option<[Permit; 2]> {
+        if self.slots.borrow().len() >= self.crowd {
+            self.make_room(Room::Begun(Duration::MAX)).await;
+        }
+        for _ in 0..SEAT_TRIES {
+            if let Some(seat) = self.seats.take() {
+                return Some([hub.permit().await?, seat]);
+            }
+            match self.make_room(Room::Soon).await {
+                Room::No => break,
+                Room::Soon => drop(Timer::after(LOOK_AGAIN).await),
+                Room::Begun(_) | Room::Idle(_) | Room::Unasked(_) => {}
+            }
+        }
+        None
+    }
+
+    /// Ends the connection of the client that makes room most readily, if it does so more readily than told.
+    pub async fn make_room(&self, than: Room) -> Room {
+        let found = self.slots.borrow().values().map(|s| (s.room(), Rc::clone(s))).max_by_key(|f| f.0);
+        let Some((room, slot)) = found else { return Room::No };
+        if room > than {
+            slot.end();
+            // Its task is awake by now and ends before this one goes on.
+            future::yield_now().await;
+        }
+        room
+    }
+}
+
 /// How readily a client makes room where descriptors are short, the readiest last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Room {
@@ -151,7 +244,7 @@
 
 impl Drop for Seat {
     fn drop(&mut self) {
-        self.hub.clients.borrow_mut().remove(&self.id);
+        self.hub.clients.slots.borrow_mut().remove(&self.id);
         self.hub.input(Input::ClientGone(self.id));
         self.hub.settled.notify();
     }
@@ -164,7 +257,7 @@
 pub async fn run(hub: Rc<Hub>, id: ClientId, stream: Async<TcpStream>, permits: [Permit; 2]) {
     let _ = stream.get_ref().set_nodelay(true);
     let slot = Rc::new(Slot::new());
-    hub.clients.borrow_mut().insert(id, Rc::clone(&slot));
+    hub.clients.slots.borrow_mut().insert(id, Rc::clone(&slot));
     hub.input(Input::ClientCame(id));
     let (large, faults) = (RefCell::default(), Cell::default());
     let seat = Seat { hub, id, slot, large, faults, _permits: permits };
@@ -174,7 +267,7 @@
 
 /// Tells a client that there is no descriptor for it. Without a door it is told what fits, and that is all.
 pub async fn turn_away(hub: Rc<Hub>, stream: Async<TcpStream>, door: Option<Permit>) {
-    hub.turned_away.set(hub.turned_away.get() + 1);
+    hub.clients.turned_away.set(hub.clients.turned_away.get() + 1);
     let words = client::fatal("53300", "too many connections");
     if door.is_some() && io::write(&stream, &[&words]).await.is_ok() {
         return io::part(&hub, &stream, future::pending()).await;
@@ -197,7 +290,7 @@
 async fn dismiss(seat: &Seat, stream: &Async<TcpStream>, code: &str, message: &str) -> Over {
     log::debug!("client {}: {message}", seat.id.0);
     let hub = &seat.hub;
-    hub.dismissed.set(hub.dismissed.get() + 1);
+    hub.clients.dismissed.set(hub.clients.dismissed.get() + 1);
     seat.slot.stage.set(Stage::Leaving(Instant::now()));
     if write(stream, &[&client::fatal(code, message)]).await.is_ok() {
         io::part(hub, stream, seat.slot.until(|| seat.slot.ended.get().then_some(()))).await;
@@ -273,7 +366,7 @@
     let fill = async {
         // Long statements are read on a few at a time, or they would fill the memory together.
         if side.waiting() > LARGE && seat.large.borrow().is_none() {
-            let place = hub.large.wait().await;
+            let place = hub.clients.large.wait().await;
             seat.large.replace(Some(place));
         }
         match io::read(hub, stream, |bytes| side.feed(bytes)).await {
@@ -297,7 +390,7 @@
         More::Late => Err(dismiss(seat, stream, "57P05", "no whole request has come in time").await),
         // No whole request has been read, and none will be: for a client that asks meanwhile, that is a
         // proof.
-        More::Closing if hub.farewell.get() => {
+        More::Closing if hub.clients.farewell.get() => {
             seat.slot.stage.set(Stage::Leaving(Instant::now()));
             let told = write(stream, &[&client::fatal("57P01", "closed between two requests")]).await.is_ok();
             // One that makes room for another is not waited for.
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -11,16 +11,14 @@
 mod watch;
 
 use crate::protocol::discovery::HostList;
-use crate::routing::{Answer, ClientId, Clock, Effect, Ended, ExchangeId, Input, Order, Router, Tally};
+use crate::routing::{ClientId, Clock, Effect, Ended, ExchangeId, Input, Order, Router, Tally};
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
-use basalthill_config::router::{
-    stop_limit, RouterConfig, ANSWER_REST, IDLE_SHARE, SOCKETS_RESERVED, STOP_SERVING,
-};
+use basalthill_config::router::{stop_limit, RouterConfig, ANSWER_REST, IDLE_SHARE, STOP_SERVING};
 use basalthill_policy::api::Time;
 use basalthill_session::Counts;
-use budget::{Budget, Permit, LOOK_AGAIN};
-use client::{Room, Slot};
+use budget::{Budget, Permit};
+use client::{Clients, Room};
 use futures_lite::{future, Stream, StreamExt};
 use pool::Pool;
 use serde::Deserialize;
@@ -28,9 +26,10 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
-use std::net::{SocketAddr, TcpListener};
+use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use watch::Following;
 
 /// How often idle connections are looked through.
 const TIDY_EVERY: Duration = Duration::from_millis(500);
@@ -38,9 +37,6 @@
 const TELL_EVERY: Duration = Duration::from_secs(10);
 /// After a failed accept, the listener rests this long.
 const ACCEPT_REST: Duration = Duration::from_millis(10);
-/// How often room is looked for before a client is turned away: no longer than one that has just come may
-/// take to ask.
-const SEAT_TRIES: u32 = 8;
 /// Bytes read at a time.
 const READ_AT_ONCE: usize = 16 * 1024;
 
@@ -53,36 +49,44 @@
     Stop,
 }
 
+/// When routing's next timer is due, and the word that it is sooner by now.
+struct Alarm {
+    armed: Cell<Time>,
+    rearm: Signal,
+}
+
+impl Default for Alarm {
+    fn default() -> Alarm {
+        Alarm { armed: Cell::new(Time(u64::MAX)), rearm: Signal::default() }
+    }
+}
+
+impl Alarm {
+    fn set(&self, due: Option<Time>) {
+        self.armed.set(due.unwrap_or(Time(u64::MAX)));
+    }
+
+    fn no_later_than(&self, due: Option<Time>) {
+        if due.is_some_and(|due| due < self.armed.get()) {
+            self.rearm.notify();
+        }
+    }
+}
+
 /// What all tasks of a router share.
 struct Hub {
     clock: Clock,
     router: RefCell<Router>,
     executor: RefCell<Option<Rc<LocalExecutor<'static>>>>,
-    clients: RefCell<BTreeMap<ClientId, Rc<Slot>>>,
+    clients: Clients,
     exchanges: RefCell<BTreeMap<ExchangeId, Task<()>>>,
     pool: Pool,
     budget: Budget,
-    /// The clients' part of the budget.
-    seats: Budget,
-    /// From so many clients on, quiet ones make room for newcomers.
-    crowd: usize,
-    doors: Budget,
-    large: Budget,
     scratch: RefCell<Vec<u8>>,
-    discovery: Cell<SocketAddr>,
-    /// The watches that are open: the newest, and until that has told its list the one before it.
-    watches: RefCell<BTreeMap<u64, Task<()>>>,
-    armed: Cell<Time>,
-    rearm: Signal,
-    fetch: Signal,
+    following: Following,
+    alarm: Alarm,
     settled: Signal,
-    listed: Signal,
     closing: Cell<bool>,
-    /// Clients are told when their connection is closed between two requests.
-    farewell: Cell<bool>,
-    /// Clients turned away, and clients told to go, since the log told of them.
-    turned_away: Cell<u32>,
-    dismissed: Cell<u32>,
     connect_timeout: Duration,
 }
 
@@ -100,26 +104,15 @@
             clock,
             router: RefCell::new(router),
             executor: RefCell::new(Some(Rc::clone(executor))),
-            clients: RefCell::default(),
+            clients: Clients::new(config),
             exchanges: RefCell::default(),
             pool: Pool::new(Duration::from_nanos(ANSWER_REST.0), idle),
             budget: Budget::new(config.limits.descriptors()),
-            seats: Budget::new(config.limits.client_descriptors()),
-            crowd: config.limits.quiet_clients(),
-            doors: Budget::new(SOCKETS_RESERVED / 3),
-            large: Budget::new(config.limits.large_statements()),
             scratch: RefCell::new(vec![0; READ_AT_ONCE]),
-            discovery: Cell::new(config.discovery),
-            watches: RefCell::default(),
-            armed: Cell::new(Time(u64::MAX)),
-            rearm: Signal::default(),
-            fetch: Signal::default(),
+            following: Following::new(config.discovery),
+            alarm: Alarm::default(),
             settled: Signal::default(),
-            listed: Signal::default(),
             closing: Cell::new(false),
-            farewell: Cell::new(config.own.farewell),
-            turned_away: Cell::new(0),
-            dismissed: Cell::new(0),
             connect_timeout,
         });
         hub.carry_out(effects);
@@ -139,20 +132,22 @@
                 Effect::Begin(order) => self.begin(order),
                 Effect::Abandon(id) => drop(self.exchanges.borrow_mut().remove(&id)),
                 Effect::Token(client, token) => {
-                    if let Some(slot) = self.clients.borrow().get(&client) {
+                    if let Some(slot) = self.clients.slot(client) {
                         slot.token(token);
                     }
                 }
                 Effect::Proxy(..) => {} // the front towards proxies is still to come
-                Effect::Answer(client, answer) => self.answer(client, answer),
+                Effect::Answer(client, answer) => {
+                    if let Some(slot) = self.clients.slot(client) {
+                        slot.answer(answer);
+                    }
+                }
                 Effect::CloseIdle(addr) => self.pool.close(addr),
-                Effect::Fetch => self.fetch.notify(),
+                Effect::Fetch => self.following.fetch.notify(),
             }
         }
         let router = self.router.borrow();
-        if router.next_due().is_some_and(|due| due < self.armed.get()) {
-            self.rearm.notify();
-        }
+        self.alarm.no_later_than(router.next_due());
         if router.unanswered() == 0 {
             self.settled.notify();
         }
@@ -180,32 +175,6 @@
         self.input(Input::Ended(id, ended));
     }
 
-    fn answer(&self, client: ClientId, answer: Answer) {
-        if let Some(slot) = self.clients.borrow().get(&client) {
-            slot.answer(answer);
-        }
-    }
-
-    /// Follows discovery at another address. The watch before goes on until the new one has told its list;
-    /// what is known stays meanwhile.
-    fn follow(self: &Rc<Hub>, addr: SocketAddr, from: Option<u64>) {
-        self.discovery.set(addr);
-        let number = self.watches.borrow().last_key_value().map_or(0, |(n, _)| n + 1);
-        let task = self.spawn(watch::run(Rc::clone(self), number, addr, from));
-        let mut watches = self.watches.borrow_mut();
-        // One that has told nothing yet has nothing to go on with.
-        while watches.len() > 1 {
-            watches.pop_last();
-        }
-        watches.extend(task.map(|t| (number, t)));
-    }
-
-    /// A watch has told its list; called from within it.
-    fn told(&self, number: u64) {
-        self.watches.borrow_mut().retain(|n, _| *n >= number);
-        self.listed.notify();
-    }
-
     /// A descriptor from the budget. When it is spent, the connection to a host that has idled longest makes
     /// room, or else a client.
     async fn permit(&self) -> Option<Permit> {
@@ -216,41 +185,9 @@
         if let Some(permit) = self.budget.take() {
             return Some(permit);
         }
-        self.make_room(Room::Soon).await;
+        self.clients.make_room(Room::Soon).await;
         self.budget.take()
     }
-
-    /// Descriptors for a client, out of the clients' part. When there are many, one that has asked nothing
-    /// makes room, or the one that has been quiet for longest; one that has only just come is given a moment,
-    /// and one in the middle of a message is ended only where there is no place at all.
-    async fn seat(&self) -> Option<[Permit; 2]> {
-        if self.clients.borrow().len() >= self.crowd {
-            self.make_room(Room::Begun(Duration::MAX)).await;
-        }
-        for _ in 0..SEAT_TRIES {
-            if let Some(seat) = self.seats.take() {
-                return Some([self.permit().await?, seat]);
-            }
-            match self.make_room(Room::Soon).await {
-                Room::No => break,
-                Room::Soon => drop(Timer::after(LOOK_AGAIN).await),
-                Room::Begun(_) | Room::Idle(_) | Room::Unasked(_) => {}
-            }
-        }
-        None
-    }
-
-    /// Ends the connection of the client that makes room most readily, if it does so more readily than told.
-    async fn make_room(&self, than: Room) -> Room {
-        let found = self.clients.borrow().values().map(|s| (s.room(), Rc::clone(s))).max_by_key(|f| f.0);
-        let Some((room, slot)) = found else { return Room::No };
-        if room > than {
-            slot.end();
-            // Its task is awake by now and ends before this one goes on.
-            future::yield_now().await;
-        }
-        room
-    }
 }
 
 /// Serves until the commands end or say so, then takes the router down in good order.
@@ -272,7 +209,7 @@
         hub.spawn(timers(Rc::clone(&hub))),
         hub.spawn(tidy(Rc::clone(&hub))),
     ];
-    hub.follow(config.discovery, from);
+    Following::at(&hub, config.discovery, from);
     let mut own = config.own.clone();
     async_io::block_on(executor.run(async {
         let mut commands = std::pin::pin!(commands);
@@ -285,7 +222,7 @@
     drop(always);
     // Without an executor the hub spawns nothing more; dropping the last handle ends every task.
     hub.executor.borrow_mut().take();
-    hub.watches.borrow_mut().clear();
+    hub.following.end();
     disk::keep(&hub, &own, &config.name);
     Ok(())
 }
@@ -295,15 +232,15 @@
     for key in started.needs_restart(again) {
         log::warn!("configuration: {key} has changed, which needs a restart; the old value stays");
     }
-    hub.farewell.set(again.own.farewell);
+    hub.clients.farewell.set(again.own.farewell);
     let plan = again.own.sessions.as_ref().map(|s| s.plan.clone());
     let bytes = started.limits.book_bytes();
     hub.router.borrow_mut().sessions().change(hub.clock.now(), plan, bytes, started.seed);
-    match again.discovery == hub.discovery.get() {
+    match again.discovery == hub.following.addr() {
         true => log::info!("configuration: read again, discovery stays at {}", again.discovery),
         false => {
             log::info!("configuration: read again, discovery is at {} from now on", again.discovery);
-            hub.follow(again.discovery, None);
+            Following::at(hub, again.discovery, None);
         }
     }
 }
@@ -324,9 +261,9 @@
     Timer::after(Duration::from_nanos(STOP_SERVING.0)).await;
     drop(listening);
     hub.closing.set(true);
-    hub.clients.borrow().values().for_each(|slot| slot.wake());
+    hub.clients.wake();
     let done = async {
-        while !hub.clients.borrow().is_empty() {
+        while hub.clients.count() > 0 {
             hub.settled.wait().await;
         }
     };
@@ -345,20 +282,20 @@
 /// known.
 async fn accept(hub: Rc<Hub>, listener: Async<TcpListener>, named: bool) {
     if !named {
-        hub.listed.wait().await;
+        hub.following.listed.wait().await;
     }
     let mut count = 0;
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 count += 1;
-                let task = match hub.seat().await {
+                let task = match hub.clients.seat(&hub).await {
                     Some(permits) => {
                         hub.spawn(client::run(Rc::clone(&hub), ClientId(count), stream, permits))
                     }
                     // A few are turned away gently at a time, or they would hold more descriptors than there
                     // are; accepting never waits for them.
-                    None => hub.spawn(client::turn_away(Rc::clone(&hub), stream, hub.doors.take())),
+                    None => hub.spawn(client::turn_away(Rc::clone(&hub), stream, hub.clients.doors.take())),
                 };
                 task.into_iter().for_each(Task::detach);
                 // Many may come at once: others get their turn in between.
@@ -377,7 +314,7 @@
 async fn timers(hub: Rc<Hub>) {
     loop {
         let due = hub.router.borrow().next_due();
-        hub.armed.set(due.unwrap_or(Time(u64::MAX)));
+        hub.alarm.set(due);
         match due {
             Some(due) if due <= hub.clock.now() => {
                 hub.input(Input::Tick);
@@ -388,9 +325,9 @@
                 let sleep = async {
                     Timer::at(at).await;
                 };
-                future::or(sleep, hub.rearm.wait()).await;
+                future::or(sleep, hub.alarm.rearm.wait()).await;
             }
-            None => hub.rearm.wait().await,
+            None => hub.alarm.rearm.wait().await,
         }
     }
 }
@@ -411,7 +348,7 @@
     loop {
         Timer::after(TIDY_EVERY).await;
         hub.pool.tidy();
-        let (away, dismissed) = (hub.turned_away.take(), hub.dismissed.take());
+        let (away, dismissed) = hub.clients.sent_away();
         if away + dismissed > 0 {
             log::warn!("clients: {away} turned away for want of descriptors, {dismissed} told to go");
         }
@@ -420,7 +357,7 @@
             let tally = hub.router.borrow_mut().tally();
             tell_sessions(&hub);
             if tally != Tally::default() {
-                let (clients, idle, left) = (hub.clients.borrow().len(), hub.pool.len(), hub.budget.left());
+                let (clients, idle, left) = (hub.clients.count(), hub.pool.len(), hub.budget.left());
                 let open = hub.exchanges.borrow().len();
                 log::info!(
                     "{tally}; {clients} clients, {open} exchanges, {idle} idle, {left} descriptors left"
--- a/crates/router/src/transport/watch.rs
+++ b/crates/router/src/transport/watch.rs
@@ -1,11 +1,15 @@
 //! Discovery's watch: kept open, and opened again when it ends or falls silent. Each address has a watch of
 //! its own, with its versions: those of another discovery may not compare.
 
+use super::signal::Signal;
 use super::{io, Hub};
 use crate::protocol::discovery::{list_request, watch_request, WatchMessage, WatchSide};
 use crate::routing::Input;
+use async_executor::Task;
 use async_io::{Async, Timer};
 use futures_lite::future;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,6 +20,56 @@
 const REST_FIRST: Duration = Duration::from_millis(50);
 const REST_MOST: Duration = Duration::from_secs(1);
 
+/// Where discovery is followed.
+pub struct Following {
+    addr: Cell<SocketAddr>,
+    /// The watches that are open: the newest, and until that has told its list the one before it.
+    watches: RefCell<BTreeMap<u64, Task<()>>>,
+    /// The whole list is asked for.
+    pub fetch: Signal,
+    /// A list has been told.
+    pub listed: Signal,
+}
+
+impl Following {
+    /// Nowhere yet; `addr` is where it will be.
+    pub fn new(addr: SocketAddr) -> Following {
+        let (fetch, listed) = (Signal::default(), Signal::default());
+        Following { addr: Cell::new(addr), watches: RefCell::default(), fetch, listed }
+    }
+
+    /// Where discovery answers.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr.get()
+    }
+
+    /// Follows discovery at an address. The watch before goes on until the new one has told its list; what is
+    /// known stays meanwhile.
+    pub fn at(hub: &Rc<Hub>, addr: SocketAddr, from: Option<u64>) {
+        let following = &hub.following;
+        following.addr.set(addr);
+        let number = following.watches.borrow().last_key_value().map_or(0, |(n, _)| n + 1);
+        let task = hub.spawn(run(Rc::clone(hub), number, addr, from));
+        let mut watches = following.watches.borrow_mut();
+        // One that has told nothing yet has nothing to go on with.
+        while watches.len() > 1 {
+            watches.pop_last();
+        }
+        watches.extend(task.map(|t| (number, t)));
+    }
+
+    /// Ends all watches.
+    pub fn end(&self) {
+        self.watches.borrow_mut().clear();
+    }
+
+    /// A watch has told its list; called from within it.
+    fn told(&self, number: u64) {
+        self.watches.borrow_mut().retain(|n, _| *n >= number);
+        self.listed.notify();
+    }
+}
+
 /// Why a watch has ended.
 enum End {
     /// The connection, or the protocol on it, has failed.
@@ -31,7 +85,7 @@
 }
 
 /// Follows the list for ever, from the version known at first.
-pub async fn run(hub: Rc<Hub>, number: u64, addr: SocketAddr, from: Option<u64>) {
+async fn run(hub: Rc<Hub>, number: u64, addr: SocketAddr, from: Option<u64>) {
     let mut version = from;
     let mut rest = REST_FIRST;
     loop {
@@ -67,7 +121,7 @@
             Ok(Some(WatchMessage::List(list))) => {
                 (*version, *told) = (Some(list.version), true);
                 hub.input(Input::List(list));
-                hub.told(number);
+                hub.following.told(number);
                 continue;
             }
             Ok(Some(WatchMessage::Nothing)) => continue,
@@ -97,8 +151,8 @@
 /// Fetches the whole list, beside the watch, whenever it is asked for.
 pub async fn fetches(hub: Rc<Hub>) {
     loop {
-        hub.fetch.wait().await;
-        let addr = hub.discovery.get();
+        hub.following.fetch.wait().await;
+        let addr = hub.following.addr();
         if let Err(End::Failed(e) | End::Unreadable(e)) = fetch(&hub, addr).await {
             log::warn!("discovery: fetching the list: {e}");
         }
@@ -111,13 +165,13 @@
     loop {
         match side.take().map_err(|e| End::Unreadable(e.to_string()))? {
             // Discovery may have moved meanwhile: its new address has told, or will tell, the newer list.
-            Some(WatchMessage::List(_)) if addr != hub.discovery.get() => {
-                hub.fetch.notify();
+            Some(WatchMessage::List(_)) if addr != hub.following.addr() => {
+                hub.following.fetch.notify();
                 return Ok(());
             }
             Some(WatchMessage::List(list)) => {
                 hub.input(Input::List(list));
-                hub.listed.notify();
+                hub.following.listed.notify();
             }
             Some(WatchMessage::Nothing) => {}
             Some(WatchMessage::End) => return Ok(()),
