--- a/crates/config/src/own.rs
+++ b/crates/config/src/own.rs
@@ -2,20 +2,39 @@
 //! can switch on is on. `deploy/basalthill.kdl` shows every key with its default.
 
 use crate::ConfigError;
+use basalthill_fleet::{Bounds, Limit, Names, Peer, Subject};
 use basalthill_policy::api::Time;
 use basalthill_session::sessions::{Handing, Plan, StandIn};
 use basalthill_session::token::{Key, KeyId, Keys, SHORTEST_SECRET};
 use kdl::{KdlDocument, KdlEntry, KdlNode, KdlValue};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 /// What the file says; empty without one.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Own {
     /// How sessions are kept together.
     pub sessions: Option<SessionSettings>,
     /// A client whose connection the router closes between two requests is told so: what it has sent since
     /// then was not read.
     pub farewell: bool,
+    /// The routers that talk to each other, and what they keep together.
+    pub fleet: Option<FleetSettings>,
+}
+
+/// The routers that talk to each other, and what they keep together.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetSettings {
+    /// Where this router listens for the others, if not at the address of its name.
+    pub listen: Option<SocketAddr>,
+    /// The keys that datagrams are signed with.
+    pub keys: Keys,
+    /// Largest error of any clock's rate, as a share.
+    pub drift: f64,
+    /// The routers, this one among them.
+    pub names: Names,
+    /// The limits over all of them.
+    pub limits: Vec<Limit>,
 }
 
 /// How sessions are kept together.
@@ -41,6 +60,8 @@
 const LEAD: Time = Time::ms(50);
 const TOKEN_AGE_S: u64 = 24 * 3600;
 const SNAPSHOT_AGE_S: u64 = 300;
+const DRIFT_PERCENT: f64 = 1.0;
+const ALONE_PERCENT: f64 = 10.0;
 /// Longest time that can be given for what a read waits for or a write needs, in milliseconds.
 const MOST_MS: i128 = 60_000;
 const MOST_S: i128 = 366 * 24 * 3600;
@@ -65,6 +86,8 @@
     for node in document.nodes() {
         match node.name().value() {
             "clients" => own.farewell = file.clients(node)?,
+            "fleet" if own.fleet.is_none() => own.fleet = Some(file.fleet(node)?),
+            "fleet" => return Err(file.fault(node, "fleet", "is given twice")),
             "sessions" if own.sessions.is_none() => own.sessions = Some(file.sessions(node)?),
             "sessions" => return Err(file.fault(node, "sessions", "is given twice")),
             other => return Err(file.fault(node, other, "is unknown")),
@@ -227,33 +250,162 @@
         plan.early = self.flag(node, "sessions.tokens.early", "early")?;
         let age = self.number(node, "sessions.tokens.max-age-s", "max-age-s", 1..=MOST_S)?;
         let max_age = Time::ms(age.unwrap_or(TOKEN_AGE_S) * 1000);
+        if let Some(child) = node.iter_children().find(|c| c.name().value() != "key") {
+            let key = format!("sessions.tokens.{}", child.name().value());
+            return Err(self.fault(child, &key, "is unknown"));
+        }
+        plan.keys = Some(self.keys(node, "sessions.tokens", max_age)?);
+        Ok(())
+    }
+
+    /// The keys among a node's children: one signs, all verify.
+    fn keys(&self, node: &KdlNode, of: &str, max_age: Time) -> Result<Keys, ConfigError> {
+        let name = format!("{of}.key");
         let (mut signing, mut verifying) = (None, Vec::<Key>::new());
-        for child in node.iter_children() {
-            let name = "sessions.tokens.key";
-            if child.name().value() != "key" {
-                let key = format!("sessions.tokens.{}", child.name().value());
-                return Err(self.fault(child, &key, "is unknown"));
-            }
-            self.shape(child, name, 2, &["signs"])?;
-            let number = self.number(child, name, 0, 0..=255)?.unwrap_or_default();
+        for child in node.iter_children().filter(|c| c.name().value() == "key") {
+            self.shape(child, &name, 2, &["signs"])?;
+            let number = self.number(child, &name, 0, 0..=255)?.unwrap_or_default();
             let short = || {
                 let problem = format!("the secret must be {SHORTEST_SECRET} bytes or more, in hexadecimal");
-                self.fault(child, name, problem)
+                self.fault(child, &name, problem)
             };
-            let secret = hex(self.word(child, name, 1)?).ok_or_else(short)?;
+            let secret = hex(self.word(child, &name, 1)?).ok_or_else(short)?;
             let key = Key::new(KeyId(number as u8), secret).ok_or_else(short)?;
             if signing.iter().chain(&verifying).any(|k: &Key| k.id == key.id) {
-                return Err(self.fault(child, name, format!("number {number} is given twice")));
+                return Err(self.fault(child, &name, format!("number {number} is given twice")));
             }
-            match (self.flag(child, "sessions.tokens.key.signs", "signs")?, &signing) {
+            match (self.flag(child, &format!("{name}.signs"), "signs")?, &signing) {
                 (true, None) => signing = Some(key),
-                (true, Some(_)) => return Err(self.fault(child, name, "only one key signs")),
+                (true, Some(_)) => return Err(self.fault(child, &name, "only one key signs")),
                 (false, _) => verifying.push(key),
             }
         }
-        let none = || self.fault(node, "sessions.tokens", "no key signs");
-        plan.keys = Some(Keys { signing: signing.ok_or_else(none)?, verifying, max_age });
-        Ok(())
+        let none = || self.fault(node, of, "no key signs");
+        Ok(Keys { signing: signing.ok_or_else(none)?, verifying, max_age })
+    }
+
+    fn fleet(&self, node: &KdlNode) -> Result<FleetSettings, ConfigError> {
+        self.shape(node, "fleet", 0, &[])?;
+        let (mut listen, mut drift, mut peers, mut limits) = (None, DRIFT_PERCENT, Vec::new(), Vec::new());
+        for child in node.iter_children() {
+            let key = format!("fleet.{}", child.name().value());
+            match child.name().value() {
+                "listen" => {
+                    self.shape(child, &key, 1, &[])?;
+                    listen = Some(self.address(child, &key, 0)?);
+                }
+                "drift-percent" => {
+                    self.shape(child, &key, 1, &[])?;
+                    drift = self.figure(child, &key, 0, 0.01..=10.0)?.unwrap_or(DRIFT_PERCENT);
+                }
+                "key" => {}
+                "router" => peers.push(self.peer(child, &key, &peers)?),
+                "limit" => limits.push((child, self.limit(child)?)),
+                _ => return Err(self.fault(child, &key, "is unknown")),
+            }
+        }
+        let routers = peers.len() as f64;
+        let same = || self.fault(node, "fleet.router", "two names are the same in short; change one");
+        let names = Names::new(peers).ok_or_else(same)?;
+        if names.is_empty() {
+            return Err(self.fault(node, "fleet.router", "is missing"));
+        }
+        let mut all = Vec::<Limit>::new();
+        for (child, mut limit) in limits {
+            if let Bounds::Rate { per_s, burst } = &mut limit.bounds {
+                *burst = if *burst == 0.0 { per_s.max(routers) } else { *burst };
+                if *burst < routers {
+                    let problem = format!("must be {routers} at least: each router's part holds one request");
+                    return Err(self.fault(child, "fleet.limit.burst", problem));
+                }
+            }
+            if all.iter().any(|l| l.name == limit.name) {
+                return Err(self.fault(child, "fleet.limit", format!("{:?} is given twice", limit.name)));
+            }
+            all.push(limit);
+        }
+        let keys = self.keys(node, "fleet", Time(0))?;
+        Ok(FleetSettings { listen, keys, drift: drift / 100.0, names, limits: all })
+    }
+
+    fn peer(&self, node: &KdlNode, key: &str, before: &[Peer]) -> Result<Peer, ConfigError> {
+        self.shape(node, key, 2, &["zone"])?;
+        let zone = node.entry("zone").map(|_| self.word(node, &format!("{key}.zone"), "zone"));
+        let (name, zone) = (self.word(node, key, 0)?, zone.transpose()?);
+        if before.iter().any(|p| p.name == name) {
+            return Err(self.fault(node, key, format!("{name:?} is given twice")));
+        }
+        let addr = self.address(node, key, 1)?;
+        Ok(Peer { name: name.into(), addr, zone: zone.map(String::from) })
+    }
+
+    fn limit(&self, node: &KdlNode) -> Result<Limit, ConfigError> {
+        const SUBJECTS: [&str; 4] = ["tenant", "class", "group", "each-member"];
+        let of = "fleet.limit";
+        let known = [&SUBJECTS[..], &["per-s", "burst", "at-once", "alone-percent"]].concat();
+        self.shape(node, of, 1, &known)?;
+        let name = self.word(node, of, 0)?.to_string();
+        let given: Vec<&str> = SUBJECTS.into_iter().filter(|s| node.entry(*s).is_some()).collect();
+        let [subject] = given[..] else {
+            return Err(self.fault(node, of, "takes one of tenant, class, group, each-member"));
+        };
+        let key = format!("{of}.{subject}");
+        let subject = match subject {
+            "tenant" => Subject::Tenant(self.word(node, &key, "tenant")?.into()),
+            "class" => Subject::Class(self.word(node, &key, "class")?.into()),
+            "group" => {
+                let group = self.number(node, &key, "group", 0..=i128::from(u32::MAX))?;
+                Subject::Group(group.unwrap_or_default() as u32)
+            }
+            _ if self.flag(node, &key, "each-member")? => Subject::EachMember,
+            _ => return Err(self.fault(node, &key, "is #true or not there")),
+        };
+        let per_s = self.figure(node, &format!("{of}.per-s"), "per-s", 0.001..=1e9)?;
+        let burst = self.figure(node, &format!("{of}.burst"), "burst", 1.0..=1e9)?;
+        let at_once = self.number(node, &format!("{of}.at-once"), "at-once", 1..=1_000_000)?;
+        let alone = self.figure(node, &format!("{of}.alone-percent"), "alone-percent", 0.0..=100.0)?;
+        let bounds = match (per_s, at_once, burst) {
+            (Some(per_s), None, burst) => Bounds::Rate { per_s, burst: burst.unwrap_or(0.0) },
+            (None, Some(most), None) => Bounds::AtOnce(most as u32),
+            _ => return Err(self.fault(node, of, "takes per-s, with burst or not, or at-once")),
+        };
+        let each = subject == Subject::EachMember;
+        if each != matches!(bounds, Bounds::AtOnce(_)) {
+            return Err(self.fault(node, of, "each-member and at-once go together"));
+        }
+        Ok(Limit { name, subject, bounds, alone: alone.unwrap_or(ALONE_PERCENT) / 100.0 })
+    }
+
+    fn address(
+        &self,
+        node: &KdlNode,
+        key: &str,
+        name: impl Into<kdl::NodeKey>,
+    ) -> Result<SocketAddr, ConfigError> {
+        let text = self.word(node, key, name)?;
+        text.parse().map_err(|_| self.fault(node, key, format!("{text:?} is not an address with a port")))
+    }
+
+    fn figure(
+        &self,
+        node: &KdlNode,
+        key: &str,
+        name: impl Into<kdl::NodeKey>,
+        range: std::ops::RangeInclusive<f64>,
+    ) -> Result<Option<f64>, ConfigError> {
+        let Some(entry) = node.entry(name) else { return Ok(None) };
+        let figure = match entry.value() {
+            KdlValue::Integer(n) => Some(*n as f64),
+            KdlValue::Float(n) => Some(*n),
+            _ => None,
+        };
+        match figure.filter(|f| range.contains(f)) {
+            Some(figure) => Ok(Some(figure)),
+            None => {
+                let problem = format!("must be a number from {} to {}", range.start(), range.end());
+                Err(self.entry_fault(entry, key, problem))
+            }
+        }
     }
 }
 
--- a/crates/config/src/router.rs
+++ b/crates/config/src/router.rs
@@ -4,6 +4,7 @@
 use crate::own::{self, Own};
 use crate::settings::{self, Site};
 use crate::{typed, ConfigError};
+use basalthill_fleet::{Subject, Tag};
 use basalthill_policy::api::Time;
 use serde::Deserialize;
 use serde_json::Value;
@@ -183,6 +184,8 @@
         .map_err(|e| ConfigError::new(format!("{shown}: {}", e.key), e.problem))?;
     if let Some(path) = settings {
         config.own = own::load(path)?;
+        in_fleet(&config)
+            .map_err(|e| ConfigError::new(format!("{}: {}", path.display(), e.key), e.problem))?;
     }
     Ok(config)
 }
@@ -231,6 +234,29 @@
     Ok(RouterConfig { name, listen, discovery, seed, limits, known, site, own, overruled })
 }
 
+/// Names of a fleet that the deployment does not know.
+fn in_fleet(config: &RouterConfig) -> Result<(), ConfigError> {
+    let Some(fleet) = &config.own.fleet else { return Ok(()) };
+    if fleet.names.get(Tag::of(&config.name)).is_none() {
+        return Err(ConfigError::new(
+            "fleet.router",
+            format!("{:?}, this one, is not on the list", config.name),
+        ));
+    }
+    for limit in &fleet.limits {
+        let (what, name, known) = match &limit.subject {
+            Subject::Tenant(name) => ("tenant", name, &config.site.tenants),
+            Subject::Class(name) => ("class", name, &config.site.classes),
+            Subject::Group(_) | Subject::EachMember => continue,
+        };
+        if !known.contains(name) {
+            let key = format!("fleet.limit {:?} {what}", limit.name);
+            return Err(ConfigError::new(key, format!("{name:?} is none of the deployment's")));
+        }
+    }
+    Ok(())
+}
+
 /// Figures that no deployment can have.
 fn in_range(site: &Site) -> Result<(), ConfigError> {
     let s = &site.settings;
--- /dev/null
+++ b/crates/fleet/src/fleet.rs
@@ -0,0 +1,734 @@
+//! One router's part in the fleet: datagrams and ticks come in, datagrams go out, and limits say what is open.
+
+use crate::account::Account;
+use crate::lease::{Claim, Life, Voter};
+use crate::limit::{Bounds, Key, Limit, Subject};
+use crate::names::{mix, Names, Tag};
+use crate::packet::{size, Content, Message, Packet, Word, ROOM};
+use crate::seal::{Dropped, Seal, Window};
+use crate::swim::{self, Swim};
+use crate::times::Times;
+use crate::{account, status};
+use basalthill_policy::api::Time;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// What the settings say of a fleet.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// The routers, this one among them.
+    pub names: Names,
+    /// The limits.
+    pub limits: Vec<Limit>,
+    /// How long loans count.
+    pub times: Times,
+    /// What an earlier life had in use may be so for this long.
+    pub settle: Time,
+}
+
+impl Plan {
+    fn digest(&self) -> u32 {
+        let order = |h, l: &Limit| mix(h ^ l.digest());
+        let times = [self.times.drift.to_bits(), self.times.lease.0];
+        times.iter().fold(self.limits.iter().fold(0, order), |h, t| mix(h ^ t)) as u32
+    }
+}
+
+/// What comes of an input.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Send a datagram.
+    Send(SocketAddr, Vec<u8>),
+    /// A line for the log.
+    Say(String),
+}
+
+/// How much of what limits a request is open.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Open {
+    /// How full the tokens stand, as a share, by the limit that has least: zero where there is none, one where
+    /// nothing limits it.
+    pub share: f64,
+    /// If it is refused, there will be a token for it after so long.
+    pub back: Time,
+}
+
+/// One who is told its life is an earlier one, or which life this is, is not told again so soon.
+const CORRECT_EVERY: Time = Time::ms(200);
+/// Accounts of members that others speak of but this router has not been told of.
+const STRANGE_ACCOUNTS: usize = 4096;
+/// A share that is held is claimed again every so many rounds; one that is not, in each.
+const CLAIM_ROUNDS: u64 = 3;
+
+#[derive(Debug, Default)]
+struct Link {
+    sent: u64,
+    life: u64,
+    window: Window,
+    corrected: Option<Time>,
+    other_names: bool,
+    other_limits: bool,
+}
+
+/// What has been counted since the start.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Datagrams sent.
+    pub sent: u64,
+    /// Bytes in them.
+    pub sent_bytes: u64,
+    /// Datagrams taken.
+    pub taken: u64,
+    /// Datagrams dropped, by why.
+    pub dropped: BTreeMap<Dropped, u64>,
+}
+
+/// One router's part in the fleet.
+pub struct Fleet {
+    me: Tag,
+    plan: Plan,
+    digest: u32,
+    seal: Seal,
+    started: Time,
+    swim: Swim,
+    voter: Voter,
+    claims: BTreeMap<Tag, Claim>,
+    accounts: BTreeMap<Key, Account>,
+    /// Accounts opened by a change of the settings hold no shares before their time.
+    opens: BTreeMap<Key, Time>,
+    members: Vec<String>,
+    links: BTreeMap<Tag, Link>,
+    say: BTreeMap<Tag, Vec<Message>>,
+    next_round: Time,
+    rounds: u64,
+    counts: Counts,
+}
+
+impl Fleet {
+    /// A router that has just started. Its life has to be later than its earlier ones': a Unix time will do.
+    pub fn new(now: Time, name: &str, life: u64, plan: Plan, seal: Seal, seed: u64) -> Fleet {
+        let me = Tag::of(name);
+        let mut fleet = Fleet {
+            me,
+            digest: plan.digest(),
+            seal,
+            started: now,
+            swim: Swim::new(now, me, life, &plan.names, seed ^ me.0),
+            voter: Voter::new(now, &plan.times),
+            claims: BTreeMap::new(),
+            accounts: BTreeMap::new(),
+            opens: BTreeMap::new(),
+            members: Vec::new(),
+            links: BTreeMap::new(),
+            say: BTreeMap::new(),
+            // Rounds of different routers fall at different times.
+            next_round: now.plus(plan.times.period.times((mix(seed ^ me.0) % 1000) as f64 / 1000.0)),
+            rounds: 0,
+            counts: Counts::default(),
+            plan,
+        };
+        fleet.claims.insert(me, Claim::new(fleet.plan.names.guardians(me)));
+        fleet.open_accounts(now);
+        fleet
+    }
+
+    /// This router, in short.
+    pub fn me(&self) -> Tag {
+        self.me
+    }
+
+    /// The limits in force.
+    pub fn limits(&self) -> &[Limit] {
+        &self.plan.limits
+    }
+
+    /// Who is alive, as this router has it.
+    pub fn swim(&self) -> &Swim {
+        &self.swim
+    }
+
+    /// What has been counted.
+    pub fn counts(&self) -> &Counts {
+        &self.counts
+    }
+
+    /// So many datagrams were dropped before they came here.
+    pub fn dropped(&mut self, why: Dropped, count: u64) {
+        *self.counts.dropped.entry(why).or_default() += count;
+    }
+
+    fn open_accounts(&mut self, now: Time) {
+        for limit in &self.plan.limits {
+            let keys: Vec<Key> = match limit.subject {
+                Subject::EachMember => self.members.iter().map(|m| Key::at(&limit.name, m)).collect(),
+                _ => vec![Key::of(&limit.name)],
+            };
+            for key in keys {
+                if !self.accounts.contains_key(&key) {
+                    // At a start, and after a change, what was in use before may still be.
+                    let before = self.started == now || self.opens.contains_key(&key);
+                    let settled = if before { now.plus(self.plan.settle) } else { now };
+                    let account = account_of(now, &self.plan, limit, key, self.me, settled);
+                    self.accounts.insert(key, account);
+                }
+            }
+        }
+        self.hold_shares(now);
+    }
+
+    /// The members that limits are counted at.
+    pub fn members(&mut self, now: Time, members: Vec<String>) {
+        if members == self.members {
+            return;
+        }
+        self.members = members;
+        self.open_accounts(now);
+        // Those of members that are gone go once nothing hangs on them.
+        let limits = &self.plan.limits;
+        let listed: Vec<Key> = limits
+            .iter()
+            .filter(|l| l.subject == Subject::EachMember)
+            .flat_map(|l| self.members.iter().map(|m| Key::at(&l.name, m)))
+            .collect();
+        self.accounts.retain(|key, a| key.member == 0 || listed.contains(key) || !a.is_idle(now));
+    }
+
+    /// Takes other settings over. Rights under the old ones that are lent out lapse before shares under the new
+    /// ones count.
+    pub fn reload(&mut self, now: Time, plan: Plan, seal: Seal, out: &mut Vec<Effect>) {
+        self.seal = seal;
+        if plan == self.plan {
+            return;
+        }
+        let lapsed = now.plus(self.plan.times.lender(self.plan.times.deposit).max(self.plan.settle));
+        let old = std::mem::replace(&mut self.plan, plan);
+        self.digest = self.plan.digest();
+        if old.names != self.plan.names {
+            self.swim.list(now, &self.plan.names);
+            for tag in old.names.tags().filter(|t| self.plan.names.get(*t).is_none()) {
+                self.links.remove(&tag);
+                self.accounts.values_mut().for_each(|a| a.forget(tag));
+            }
+        }
+        if old.names.digest() != self.plan.names.digest() {
+            // Claims begin anew with the new guardians; shares that are held under the old ones lapse.
+            self.claims = [(self.me, Claim::new(self.plan.names.guardians(self.me)))].into();
+        }
+        let names = old.names.digest() != self.plan.names.digest();
+        let same = |key: &Key| {
+            let of = |plan: &Plan| plan.limits.iter().find(|l| Key::of(&l.name).limit == key.limit).cloned();
+            of(&old) == of(&self.plan) && of(&old).is_some() && !names
+        };
+        let gone: Vec<Key> = self.accounts.keys().filter(|key| !same(key)).copied().collect();
+        for key in gone {
+            self.accounts.remove(&key);
+            self.opens.insert(key, lapsed);
+        }
+        out.push(Effect::Say(format!(
+            "fleet: {} names, {} limits from now on; shares that have changed count after {} ms",
+            self.plan.names.len(),
+            self.plan.limits.len(),
+            lapsed.since(now).0 / 1_000_000
+        )));
+        self.open_accounts(now);
+    }
+
+    /// Has every account hold the shares that this router holds.
+    fn hold_shares(&mut self, now: Time) {
+        self.opens.retain(|_, at| now < *at);
+        for (slot, claim) in &self.claims {
+            let until = claim.until();
+            if until <= now {
+                continue;
+            }
+            for (key, account) in self.accounts.iter_mut().filter(|(key, _)| !self.opens.contains_key(key)) {
+                let Some(limit) = self.plan.limits.iter().find(|l| Key::of(&l.name).limit == key.limit)
+                else {
+                    continue;
+                };
+                account.settle(now);
+                account.share(*slot, parts(&self.plan.names, limit, *key, *slot).1, until);
+            }
+        }
+    }
+
+    /// A datagram has come.
+    pub fn datagram(&mut self, now: Time, bytes: &[u8], out: &mut Vec<Effect>) {
+        match self.seal.open(bytes) {
+            Ok(Content::Packet(packet)) => self.packet(now, packet, out),
+            Ok(Content::Operator(_)) | Err(Dropped::Malformed) => self.dropped(Dropped::Malformed, 1),
+            Err(why) => self.dropped(why, 1),
+        }
+    }
+
+    /// A packet has come whose seal is right.
+    pub fn packet(&mut self, now: Time, packet: Packet, out: &mut Vec<Effect>) {
+        if let Err(why) = self.take(now, packet, out) {
+            self.dropped(why, 1);
+        }
+        self.flush(out);
+    }
+
+    fn take(&mut self, now: Time, packet: Packet, out: &mut Vec<Effect>) -> Result<(), Dropped> {
+        let from = packet.from;
+        if packet.to != self.me || from == self.me || self.plan.names.get(from).is_none() {
+            return Err(Dropped::Stranger);
+        }
+        let known = self.swim.peer(from).map_or(0, |k| k.life);
+        if packet.life < known {
+            // It, or one who repeats what it once said. Only it can take the answer for its own.
+            if self.may_correct(now, from) {
+                self.send_to(from, packet.life, vec![Message::Known(known)], out);
+            }
+            return Err(Dropped::OtherLife);
+        }
+        if packet.to_life != 0 && packet.to_life != self.swim.life() {
+            if self.may_correct(now, from) {
+                self.send_to(from, packet.life, vec![Message::Ack(0)], out);
+            }
+            return Err(Dropped::OtherLife);
+        }
+        let link = self.links.entry(from).or_default();
+        if packet.life != link.life {
+            (link.life, link.window) = (packet.life, Window::default());
+        }
+        if !link.window.take(packet.sequence) {
+            return Err(Dropped::Repeated);
+        }
+        self.counts.taken += 1;
+        let (names, limits) = (self.plan.names.digest() != packet.names, self.digest != packet.limits);
+        if (link.other_names, link.other_limits) != (names, limits) {
+            (link.other_names, link.other_limits) = (names, limits);
+            let what = match (names, limits) {
+                (true, _) => "has another list of names: neither votes nor rights pass between us",
+                (false, true) => "has other limits: no rights pass between us",
+                (false, false) => "has the same names and limits",
+            };
+            out.push(Effect::Say(format!("fleet: {} {what}", self.plan.names.name(from))));
+        }
+        let mut said = Vec::new();
+        self.swim.heard(now, from, packet.life, &mut said);
+        for message in &packet.messages {
+            match message {
+                // One who does not know this life may ask whether it is there, no more.
+                Message::Ping(_) => self.swim.take(now, from, message, &mut said),
+                _ if packet.to_life == 0 => {}
+                Message::Known(life) => {
+                    out.push(Effect::Say(format!("fleet: a later life {life} of this router is known")));
+                    self.swim.live_after(*life);
+                }
+                Message::Claim(..) | Message::Vote(..) | Message::Taken(..) | Message::Release(_) => {
+                    if !names {
+                        self.of_shares(now, Life { router: from, life: packet.life }, message, out);
+                    }
+                }
+                Message::Report(report) if !(names || limits) => {
+                    if let Some(account) = self.account(now, report.key) {
+                        if let Some(reply) = account.reported(now, from, report) {
+                            self.say.entry(from).or_default().push(Message::Reply(reply));
+                        }
+                    }
+                }
+                Message::Reply(reply) if !(names || limits) => {
+                    if let Some(account) = self.account(now, reply.key) {
+                        account.replied(from, reply);
+                    }
+                }
+                Message::Report(_) | Message::Reply(_) => {}
+                _ => self.swim.take(now, from, message, &mut said),
+            }
+        }
+        self.swim_says(now, said, out);
+        Ok(())
+    }
+
+    fn may_correct(&mut self, now: Time, from: Tag) -> bool {
+        let link = self.links.entry(from).or_default();
+        let may = link.corrected.is_none_or(|at| now.since(at) >= CORRECT_EVERY);
+        if may {
+            link.corrected = Some(now);
+        }
+        may
+    }
+
+    /// The account of a key, settled. One of a member that is not known here is opened, if its limit is.
+    fn account(&mut self, now: Time, key: Key) -> Option<&mut Account> {
+        if !self.accounts.contains_key(&key) {
+            let limit = self.plan.limits.iter().find(|l| Key::of(&l.name).limit == key.limit)?;
+            let strange = limit.subject != Subject::EachMember || key.member == 0;
+            if strange || self.accounts.len() >= STRANGE_ACCOUNTS + self.members.len() {
+                return None;
+            }
+            let settled = self.started.plus(self.plan.settle);
+            let account = account_of(now, &self.plan, limit, key, self.me, settled);
+            self.accounts.insert(key, account);
+        }
+        let account = self.accounts.get_mut(&key)?;
+        account.settle(now);
+        Some(account)
+    }
+
+    /// What is said of shares.
+    fn of_shares(&mut self, now: Time, from: Life, message: &Message, out: &mut Vec<Effect>) {
+        match message {
+            Message::Claim(slot, number) => {
+                if !self.plan.names.guardians(*slot).contains(&self.me) {
+                    return;
+                }
+                let answer = match self.voter.asked(now, &self.plan.times, *slot, from) {
+                    Ok(()) => Message::Vote(*slot, *number),
+                    Err(by) => Message::Taken(*slot, by.map(|l| (l.router, l.life))),
+                };
+                self.say.entry(from.router).or_default().push(answer);
+            }
+            Message::Vote(slot, number) => {
+                let Some(claim) = self.claims.get_mut(slot) else { return };
+                let before = claim.until();
+                claim.given(from.router, *number, &self.plan.times);
+                if claim.until() > before {
+                    self.held(now, *slot, before, out);
+                }
+            }
+            Message::Release(slot) => self.voter.released(*slot, from),
+            _ => {}
+        }
+    }
+
+    fn held(&mut self, now: Time, slot: Tag, before: Time, out: &mut Vec<Effect>) {
+        if before <= now {
+            let whose = self.plan.names.name(slot);
+            out.push(Effect::Say(match slot == self.me {
+                true => "fleet: this router's own share is held, with most of its guardians' votes".into(),
+                false => format!("fleet: {whose} is gone; its share is held here"),
+            }));
+        }
+        self.hold_shares(now);
+    }
+
+    fn swim_says(&mut self, now: Time, said: Vec<swim::Out>, out: &mut Vec<Effect>) {
+        for one in said {
+            match one {
+                swim::Out::Say(to, message) => self.say.entry(to).or_default().push(message),
+                swim::Out::Changed { of, word, restarted, by } => {
+                    if restarted {
+                        for account in self.accounts.values_mut() {
+                            account.settle(now);
+                            account.forget(of);
+                        }
+                    }
+                    let what = match word {
+                        Word::Alive if restarted => "has started again",
+                        Word::Alive => "is alive",
+                        Word::Suspect => "does not answer",
+                        Word::Dead => "is dead",
+                        Word::Left => "has left",
+                    };
+                    let (of, by) = (self.plan.names.name(of), self.plan.names.name(by));
+                    out.push(Effect::Say(format!("fleet: {of} {what}, says {by}")));
+                }
+            }
+        }
+    }
+
+    /// When something is to be done next.
+    pub fn next_due(&self) -> Time {
+        self.next_round.min(self.swim.next_due())
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if now >= self.swim.next_due() {
+            let mut said = Vec::new();
+            self.swim.tick(now, &mut said);
+            self.swim_says(now, said, out);
+        }
+        if now >= self.next_round {
+            self.round(now, out);
+            let due = self.next_round.plus(self.plan.times.period);
+            self.next_round = if due > now { due } else { now.plus(self.plan.times.period) };
+        }
+        self.flush(out);
+    }
+
+    /// A round of talk about rights.
+    fn round(&mut self, now: Time, out: &mut Vec<Effect>) {
+        self.rounds += 1;
+        self.voter.lapse(now);
+        self.claim(now, out);
+        self.hold_shares(now);
+        let living: Vec<Tag> = self.swim.living().collect();
+        let me = self.me;
+        for (key, account) in &mut self.accounts {
+            account.settle(now);
+            let number = key.number();
+            let best = living.iter().copied().max_by_key(|t| (crate::names::fit(*t, number), *t));
+            let dealer = best.unwrap_or(me);
+            if let Some(report) = account.round(now, me, dealer) {
+                self.say.entry(dealer).or_default().push(Message::Report(report));
+            }
+        }
+    }
+
+    /// Claims this router's own share, and those of routers that are gone where it fits best; gives up those of
+    /// routers that are back.
+    fn claim(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let unheard = now.since(self.started) > self.plan.times.lease;
+        let gone = |swim: &Swim, slot| {
+            swim.gone(slot) || (unheard && swim.peer(slot).is_some_and(|k| k.word.is_none()))
+        };
+        let living: Vec<Tag> = self.swim.living().collect();
+        let lost: Vec<Tag> =
+            self.plan.names.tags().filter(|t| *t != self.me && gone(&self.swim, *t)).collect();
+        for slot in lost {
+            let best = living.iter().copied().max_by_key(|t| (crate::names::fit(*t, slot.0), *t));
+            if best == Some(self.me) && !self.claims.contains_key(&slot) {
+                self.claims.insert(slot, Claim::new(self.plan.names.guardians(slot)));
+            }
+        }
+        let back: Vec<Tag> = self.claims.keys().copied().filter(|s| !self.claimed(*s, &gone)).collect();
+        for slot in back {
+            let mut free = true;
+            for account in self.accounts.values_mut() {
+                account.settle(now);
+                free &= account.give_up(now, slot);
+            }
+            let Some(claim) = self.claims.get(&slot).filter(|c| free || c.until() <= now) else { continue };
+            for guardian in claim.guardians().iter().filter(|g| **g != self.me) {
+                self.say.entry(*guardian).or_default().push(Message::Release(slot));
+            }
+            self.voter.released(slot, Life { router: self.me, life: self.swim.life() });
+            self.claims.remove(&slot);
+            out.push(Effect::Say(format!("fleet: the share of {} is given up", self.plan.names.name(slot))));
+        }
+        let me = Life { router: self.me, life: self.swim.life() };
+        for (slot, claim) in &mut self.claims {
+            let wanted = *slot == self.me || gone(&self.swim, *slot);
+            let again = self.rounds % CLAIM_ROUNDS == slot.0 % CLAIM_ROUNDS || claim.until() <= now;
+            if !wanted || !again {
+                continue;
+            }
+            let number = claim.ask(now);
+            if self.voter.asked(now, &self.plan.times, *slot, me).is_ok() {
+                claim.given(self.me, number, &self.plan.times);
+            }
+            for guardian in claim.guardians().iter().filter(|g| **g != self.me) {
+                self.say.entry(*guardian).or_default().push(Message::Claim(*slot, number));
+            }
+        }
+    }
+
+    fn claimed(&self, slot: Tag, gone: &impl Fn(&Swim, Tag) -> bool) -> bool {
+        slot == self.me || gone(&self.swim, slot)
+    }
+
+    /// Whether a request that these limits count may be admitted: by the one that has least.
+    pub fn open(&mut self, now: Time, keys: &[Key]) -> Open {
+        let mut open = Open { share: 1.0, back: Time(0) };
+        for key in keys {
+            let Some(account) = self.accounts.get_mut(key) else { continue };
+            account.settle(now);
+            let (share, back) = account.asked(now);
+            open = Open { share: open.share.min(share), back: open.back.max(back) };
+        }
+        open
+    }
+
+    /// A request that these limits count has been admitted.
+    pub fn spend(&mut self, keys: &[Key]) {
+        for key in keys {
+            self.accounts.get_mut(key).into_iter().for_each(Account::spend);
+        }
+    }
+
+    /// A request that these limits count has been refused: the next is told to come back later.
+    pub fn refused(&mut self, keys: &[Key]) {
+        for key in keys {
+            self.accounts.get_mut(key).into_iter().for_each(Account::refused);
+        }
+    }
+
+    /// How many more may be out at a time under a key, each for so long at most; all if it has no account.
+    pub fn room(&mut self, now: Time, key: Key, span: Time) -> u64 {
+        self.accounts.get_mut(&key).map_or(u64::MAX, |account| {
+            account.settle(now);
+            account.room(now, span)
+        })
+    }
+
+    /// One more is out, until a time at the latest.
+    pub fn begun(&mut self, now: Time, key: Key, number: u64, until: Time) {
+        if let Some(account) = self.accounts.get_mut(&key) {
+            account.settle(now);
+            account.take(number, until);
+        }
+    }
+
+    /// One is no longer out.
+    pub fn ended(&mut self, now: Time, key: Key, number: u64) {
+        if let Some(account) = self.accounts.get_mut(&key) {
+            account.settle(now);
+            account.give_back(number);
+        }
+    }
+
+    /// One more was wanted under a key, and there was no room.
+    pub fn missed(&mut self, key: Key) {
+        self.accounts.get_mut(&key).into_iter().for_each(Account::missed);
+    }
+
+    /// What is known of an account.
+    pub fn figures(&self, now: Time, key: Key) -> Option<account::Figures> {
+        self.accounts.get(&key).map(|a| a.figures(now))
+    }
+
+    /// This router goes: it says so, and gives back the shares on which nothing hangs.
+    pub fn leave(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let mut said = Vec::new();
+        self.swim.leave(&mut said);
+        self.swim_says(now, said, out);
+        let slots: Vec<Tag> = self.claims.keys().copied().collect();
+        for slot in slots {
+            let mut free = true;
+            for account in self.accounts.values_mut() {
+                account.settle(now);
+                free &= account.give_up(now, slot);
+            }
+            let Some(claim) = self.claims.remove(&slot).filter(|_| free) else { continue };
+            for guardian in claim.guardians().iter().filter(|g| **g != self.me) {
+                self.say.entry(*guardian).or_default().push(Message::Release(slot));
+            }
+        }
+        self.flush(out);
+    }
+
+    /// Sends what is to be said, with news.
+    fn flush(&mut self, out: &mut Vec<Effect>) {
+        for (to, messages) in std::mem::take(&mut self.say) {
+            let life = self.swim.peer(to).filter(|k| k.word.is_some()).map_or(0, |k| k.life);
+            let mut packet = Vec::new();
+            let mut left = ROOM;
+            for message in messages {
+                let size = size(&message);
+                if size > left {
+                    self.send_to(to, life, std::mem::take(&mut packet), out);
+                    left = ROOM;
+                }
+                left = left.saturating_sub(size);
+                packet.push(message);
+            }
+            let news = if life != 0 { self.swim.news() } else { Vec::new() };
+            if !news.is_empty() {
+                let news = Message::News(news);
+                if size(&news) <= left {
+                    packet.push(news);
+                }
+            }
+            self.send_to(to, life, packet, out);
+        }
+    }
+
+    fn send_to(&mut self, to: Tag, to_life: u64, messages: Vec<Message>, out: &mut Vec<Effect>) {
+        let Some(peer) = self.plan.names.get(to) else { return };
+        let addr = peer.addr;
+        let link = self.links.entry(to).or_default();
+        link.sent += 1;
+        let packet = Packet {
+            from: self.me,
+            life: self.swim.life(),
+            to,
+            to_life,
+            sequence: link.sent,
+            names: self.plan.names.digest(),
+            limits: self.digest,
+            messages,
+        };
+        let bytes = self.seal.close(&Content::Packet(packet));
+        self.counts.sent += 1;
+        self.counts.sent_bytes += bytes.len() as u64;
+        out.push(Effect::Send(addr, bytes));
+    }
+
+    /// An operator asks for the status.
+    pub fn operator(&self, now: Time, asked: &crate::packet::Operator) -> Option<Vec<u8>> {
+        status::answer(asked, || self.lines(now)).map(|content| self.seal.close(&content))
+    }
+
+    /// The status, for people: members, shares, limits, and why something is withheld.
+    pub fn lines(&self, now: Time) -> Vec<String> {
+        let names = &self.plan.names;
+        let ago = |at: Time| format!("{:.1} s", now.since(at).secs());
+        let mut lines = vec![format!(
+            "router {} life {} names {} alive {} slow {}",
+            names.name(self.me),
+            self.swim.life(),
+            names.len(),
+            self.swim.living().count(),
+            self.swim.slow()
+        )];
+        for (tag, known) in self.swim.peers() {
+            let word = known.word.map_or("unheard".into(), |w| format!("{w:?}").to_lowercase());
+            let heard = known.heard.map_or("never".into(), ago);
+            let link = self.links.get(&tag);
+            let other = match link.map(|l| (l.other_names, l.other_limits)) {
+                Some((true, _)) => " withheld: another list of names",
+                Some((false, true)) => " withheld: other limits",
+                _ => "",
+            };
+            lines.push(format!(
+                "member {} {word} for {} says {} heard {heard} life {}{other}",
+                names.name(tag),
+                ago(known.since),
+                names.name(known.by),
+                known.life
+            ));
+        }
+        for (slot, claim) in &self.claims {
+            let left = claim.until().since(now);
+            let state = match left > Time(0) {
+                true => format!("held for {:.1} s more", left.secs()),
+                false => "withheld: most of its guardians have not given their votes".into(),
+            };
+            lines.push(format!("share of {} {state}", names.name(*slot)));
+        }
+        for (key, account) in &self.accounts {
+            let limit = self.plan.limits.iter().find(|l| Key::of(&l.name).limit == key.limit);
+            let name = limit.map_or("?", |l| l.name.as_str());
+            let member = self.members.iter().find(|m| key.member != 0 && Key::at(name, m) == *key);
+            let at = member.map(|m| format!(" at {m}")).unwrap_or_default();
+            let f = account.figures(now);
+            let why = match self.opens.get(key) {
+                Some(at) => format!(" withheld: it has changed, and counts in {:.1} s", at.since(now).secs()),
+                None => String::new(),
+            };
+            lines.push(format!(
+                "limit {name}{at} of {} held {} floor {} shares {} borrowed {} lent {} want {} in use {}{why}",
+                f.of, f.held, f.floor, f.shares, f.borrowed, f.lent, f.want, f.in_use
+            ));
+        }
+        let c = &self.counts;
+        lines.push(format!("datagrams sent {} of {} bytes, taken {}", c.sent, c.sent_bytes, c.taken));
+        for (why, count) in &c.dropped {
+            lines.push(format!("datagrams dropped {count}: {}", format!("{why:?}").to_lowercase()));
+        }
+        lines
+    }
+}
+
+/// A name's part of a limit: what its own router keeps whatever happens, and the rest, which lapses.
+fn parts(names: &Names, limit: &Limit, key: Key, slot: Tag) -> (u64, u64) {
+    let part = names.part(limit.bounds.units(), slot, key.number());
+    let floor = (part as f64 * limit.alone) as u64;
+    (floor, part - floor)
+}
+
+fn account_of(now: Time, plan: &Plan, limit: &Limit, key: Key, me: Tag, settled: Time) -> Account {
+    let floor = parts(&plan.names, limit, key, me).0;
+    match limit.bounds {
+        // Tokens are spent at once: loans of them need not outlast any use.
+        Bounds::Rate { .. } => {
+            let times = Times { lease: plan.times.lease, ..Times::new(plan.times.drift, Time(0)) };
+            Account::new(now, key, limit.bounds, floor, now, times)
+        }
+        Bounds::AtOnce(_) => Account::new(now, key, limit.bounds, floor, settled, plan.times),
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lease.rs
@@ -0,0 +1,117 @@
+//! Whose the share of each name is. A name's own router holds it while most of the name's guardians say so; when
+//! that router is gone, another takes it over by the same vote, as its steward.
+//!
+//! A guardian gives its vote for a span, and to nobody else before that is over by its own clock. A holder counts
+//! the span from when it asked. Two sets of most guardians have one in common, so no share is held twice
+//! (PaxosLease's argument; no disk: a guardian that starts gives no vote until its earlier life's have lapsed).
+//! A router is known by its name and its life: what an earlier life held has to lapse, too.
+
+use crate::names::Tag;
+use crate::times::Times;
+use basalthill_policy::api::Time;
+use std::collections::{BTreeMap, VecDeque};
+
+/// One life of a router.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Life {
+    /// Its name.
+    pub router: Tag,
+    /// The life: later ones are larger.
+    pub life: u64,
+}
+
+/// A guardian's votes.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Voter {
+    quiet_until: Time,
+    votes: BTreeMap<Tag, (Life, Time)>,
+}
+
+impl Voter {
+    /// A guardian that has just started.
+    pub fn new(now: Time, times: &Times) -> Voter {
+        Voter { quiet_until: now.plus(times.quiet()), votes: BTreeMap::new() }
+    }
+
+    /// A router asks for this guardian's vote on a share. If it can't have it, who has it.
+    pub fn asked(&mut self, now: Time, times: &Times, slot: Tag, by: Life) -> Result<(), Option<Life>> {
+        if now < self.quiet_until {
+            return Err(None);
+        }
+        match self.votes.get(&slot) {
+            Some((holder, until)) if *holder != by && now < *until => Err(Some(*holder)),
+            _ => {
+                self.votes.insert(slot, (by, now.plus(times.lender(times.lease))));
+                Ok(())
+            }
+        }
+    }
+
+    /// A holder gives a share up, and uses it no longer.
+    pub fn released(&mut self, slot: Tag, by: Life) {
+        if self.votes.get(&slot).is_some_and(|(holder, _)| *holder == by) {
+            self.votes.remove(&slot);
+        }
+    }
+
+    /// Forgets votes that have lapsed.
+    pub fn lapse(&mut self, now: Time) {
+        self.votes.retain(|_, (_, until)| now < *until);
+    }
+
+    /// Who has this guardian's vote on a share.
+    pub fn holder(&self, slot: Tag) -> Option<Life> {
+        self.votes.get(&slot).map(|v| v.0)
+    }
+}
+
+/// Questions whose answers still count.
+const QUESTIONS: usize = 4;
+
+/// A router's claim on a share.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Claim {
+    number: u32,
+    asked: VecDeque<(u32, Time)>,
+    /// Until when each guardian's vote counts.
+    votes: BTreeMap<Tag, Time>,
+    guardians: Vec<Tag>,
+}
+
+impl Claim {
+    /// A claim on a share with these guardians.
+    pub fn new(guardians: Vec<Tag>) -> Claim {
+        Claim { guardians, ..Claim::default() }
+    }
+
+    /// Asks all guardians again; the question's number.
+    pub fn ask(&mut self, now: Time) -> u32 {
+        self.number += 1;
+        self.asked.push_back((self.number, now));
+        if self.asked.len() > QUESTIONS {
+            self.asked.pop_front();
+        }
+        self.number
+    }
+
+    /// A guardian has given its vote.
+    pub fn given(&mut self, by: Tag, number: u32, times: &Times) {
+        let Some((_, asked)) = self.asked.iter().find(|(n, _)| *n == number) else { return };
+        if self.guardians.contains(&by) {
+            let until = self.votes.entry(by).or_default();
+            *until = asked.plus(times.lease).max(*until);
+        }
+    }
+
+    /// Until when the share is held: so long most of the guardians' votes count.
+    pub fn until(&self) -> Time {
+        let mut votes: Vec<Time> = self.votes.values().copied().collect();
+        votes.sort_unstable_by(|a, b| b.cmp(a));
+        votes.get(self.guardians.len() / 2).copied().unwrap_or_default()
+    }
+
+    /// The guardians.
+    pub fn guardians(&self) -> &[Tag] {
+        &self.guardians
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/loan.rs
@@ -0,0 +1,226 @@
+//! Rights passed on between two routers, over links that lose, delay, repeat and reorder.
+//!
+//! The borrower asks, by rising numbers, and says how much it keeps of what it has; it has cut down to that
+//! before the question goes out. The lender answers the newest question. The borrower counts its span from when
+//! it asked, the lender from when it answered, which is later; the lender's span is longer by what their clocks
+//! may differ. Both write down the same: from a question on, no more than what is kept; from an answer on, what
+//! was answered until its end, and what was kept beyond that until its own. The lender does so first, whether or
+//! not its answer arrives, and each of its ends comes later. So at any time the borrower uses no more than the
+//! lender has written off.
+//!
+//! An answer to any but the newest question is passed over by the borrower, a question that is not newer than
+//! the last by the lender. A borrower that restarts has forgotten its loans; they lapse. One that was frozen
+//! finds them lapsed by its own clock.
+
+use crate::ledger::Ledger;
+use basalthill_policy::api::Time;
+
+/// Units that go down as time passes: up to each end, so many.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+struct Stairs {
+    /// The ends rise, the units fall.
+    steps: Vec<(Time, u64)>,
+}
+
+impl Stairs {
+    /// Units at a time.
+    fn units(&self, at: Time) -> u64 {
+        self.steps.iter().find(|s| s.0 > at).map_or(0, |s| s.1)
+    }
+
+    /// No more than so many from now on.
+    fn cut(&mut self, most: u64) {
+        self.steps.iter_mut().for_each(|s| s.1 = s.1.min(most));
+        self.level();
+    }
+
+    /// At least so many until a time.
+    fn raise(&mut self, units: u64, until: Time) {
+        self.steps.iter_mut().filter(|s| s.0 <= until).for_each(|s| s.1 = s.1.max(units));
+        let at = self.steps.partition_point(|s| s.0 <= until);
+        if self.steps.get(at).is_none_or(|s| s.1 < units) {
+            self.steps.insert(at, (until, units));
+        }
+        self.level();
+    }
+
+    /// Steps that go no further down than the next say nothing; nor do those at nothing.
+    fn level(&mut self) {
+        let mut next = 0;
+        self.steps.reverse();
+        self.steps.retain(|s| {
+            let says = s.1 > next;
+            next = next.max(s.1);
+            says
+        });
+        self.steps.reverse();
+    }
+
+    fn lapse(&mut self, now: Time) {
+        self.steps.retain(|s| s.0 > now);
+    }
+
+    /// How many units go at each end.
+    fn parts(&self) -> impl Iterator<Item = (u64, Time)> + '_ {
+        let next = self.steps.iter().skip(1).map(|s| s.1).chain([0]);
+        self.steps.iter().zip(next).map(|(s, next)| (s.1 - next, s.0))
+    }
+}
+
+/// What a router has borrowed from one other.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Borrowed {
+    number: u32,
+    asked: Option<Time>,
+    answer: u64,
+    there: Stairs,
+}
+
+/// A question: the number, and how many units of the earlier loan are kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Question {
+    /// Rises with each question.
+    pub number: u32,
+    /// No more than these are used from now on, until an answer comes.
+    pub keep: u64,
+}
+
+impl Borrowed {
+    /// Asks anew and keeps no more than `keep` of what is there. What is given up leaves the ledger.
+    pub fn ask(&mut self, now: Time, keep: u64, ledger: &mut Ledger) -> Question {
+        self.change(ledger, |there| {
+            there.lapse(now);
+            there.cut(keep);
+        });
+        self.number += 1;
+        self.asked = Some(now);
+        Question { number: self.number, keep: self.there.units(now) }
+    }
+
+    /// An answer has come: these units, for a span from when the question went out.
+    pub fn answered(&mut self, number: u32, units: u64, span: Time, ledger: &mut Ledger) {
+        if number != self.number {
+            return;
+        }
+        if let Some(asked) = self.asked.take() {
+            self.answer = units;
+            self.change(ledger, |there| there.raise(units, asked.plus(span)));
+        }
+    }
+
+    fn change(&mut self, ledger: &mut Ledger, f: impl FnOnce(&mut Stairs)) {
+        self.there.parts().for_each(|(units, until)| ledger.drop(units, until));
+        f(&mut self.there);
+        self.there.parts().for_each(|(units, until)| ledger.add(units, until));
+    }
+
+    /// Forgets what has lapsed.
+    pub fn lapse(&mut self, now: Time, ledger: &mut Ledger) {
+        if self.there.steps.first().is_some_and(|s| s.0 <= now) {
+            self.change(ledger, |there| there.lapse(now));
+        }
+    }
+
+    /// Units of the newest answer.
+    pub fn answer(&self) -> u64 {
+        self.answer
+    }
+
+    /// Units that are there at a time.
+    pub fn units(&self, at: Time) -> u64 {
+        self.there.units(at)
+    }
+}
+
+/// What a router has lent to one other.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Lent {
+    number: u32,
+    answer: u64,
+    out: Stairs,
+}
+
+/// What is to be made of a question.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// It is new: it is to be answered by [`Lent::answer`].
+    New,
+    /// It has been answered, so.
+    Again(u64),
+    /// It is old.
+    Old,
+}
+
+impl Lent {
+    /// A question has come. If it is new, the borrower has cut down to what it keeps; the rest is back.
+    pub fn asked(&mut self, now: Time, question: Question, ledger: &mut Ledger) -> Heard {
+        if question.number < self.number {
+            return Heard::Old;
+        }
+        if question.number == self.number {
+            return Heard::Again(self.answer);
+        }
+        self.number = question.number;
+        self.answer = 0;
+        self.change(ledger, |out| {
+            out.lapse(now);
+            out.cut(question.keep);
+        });
+        Heard::New
+    }
+
+    /// Answers the question with units until a time by this clock: no more than [`Lent::room`] for that time.
+    pub fn answer(&mut self, units: u64, until: Time, ledger: &mut Ledger) {
+        self.answer = units;
+        self.change(ledger, |out| out.raise(units, until));
+    }
+
+    /// The most that can be answered with until a time: what is there, and what the borrower has kept, which
+    /// counts once.
+    pub fn room(&self, now: Time, until: Time, ledger: &Ledger) -> u64 {
+        let mut without = ledger.clone();
+        self.out.parts().for_each(|(units, until)| without.regain(units, until));
+        without.least(now, until).max(0) as u64
+    }
+
+    fn change(&mut self, ledger: &mut Ledger, f: impl FnOnce(&mut Stairs)) {
+        self.out.parts().for_each(|(units, until)| ledger.regain(units, until));
+        f(&mut self.out);
+        self.out.parts().for_each(|(units, until)| ledger.lend(units, until));
+    }
+
+    /// Forgets what has lapsed.
+    pub fn lapse(&mut self, now: Time, ledger: &mut Ledger) {
+        if self.out.steps.first().is_some_and(|s| s.0 <= now) {
+            // In the ledger it stands at its tick until that forgets it, a moment later.
+            self.change(ledger, |out| out.lapse(now));
+        }
+    }
+
+    /// Units that may be in use by the borrower at a time.
+    pub fn units(&self, at: Time) -> u64 {
+        self.out.units(at)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn stairs_go_down() {
+        let mut stairs = Stairs::default();
+        stairs.raise(5, Time(10));
+        stairs.raise(3, Time(20));
+        stairs.raise(4, Time(15));
+        assert_eq!(stairs.steps, [(Time(10), 5), (Time(15), 4), (Time(20), 3)]);
+        assert_eq!(stairs.parts().collect::<Vec<_>>(), [(1, Time(10)), (1, Time(15)), (3, Time(20))]);
+        stairs.cut(4);
+        assert_eq!(stairs.steps, [(Time(15), 4), (Time(20), 3)]);
+        stairs.raise(6, Time(17));
+        assert_eq!(stairs.steps, [(Time(17), 6), (Time(20), 3)]);
+        assert_eq!((stairs.units(Time(16)), stairs.units(Time(17)), stairs.units(Time(20))), (6, 3, 0));
+        stairs.cut(0);
+        assert!(stairs.steps.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/names.rs
@@ -0,0 +1,176 @@
+//! The routers of an installation, by the names that the settings give them. Nobody is in the fleet who is not
+//! on the list; who of them is alive is for [`crate::swim`] to say.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// A name in short, as it goes over the wire.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Tag(pub u64);
+
+impl Tag {
+    /// The tag of a name.
+    pub fn of(name: &str) -> Tag {
+        Tag(hash(name.as_bytes()))
+    }
+}
+
+/// FNV-1a, mixed: bytes in, a number out that is the same at every router.
+pub fn hash(bytes: &[u8]) -> u64 {
+    mix(bytes.iter().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3)))
+}
+
+/// The finisher of SplitMix64: numbers that differ in a bit differ in half of them.
+pub fn mix(n: u64) -> u64 {
+    let n = (n ^ (n >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let n = (n ^ (n >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    n ^ (n >> 31)
+}
+
+/// How well a router fits something, by rendezvous hashing: the one that fits best has it, and when that one
+/// goes, the next; nothing else moves.
+pub fn fit(router: Tag, what: u64) -> u64 {
+    mix(router.0 ^ mix(what))
+}
+
+/// A router of the list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Its name.
+    pub name: String,
+    /// Where it is reached over UDP, from here.
+    pub addr: SocketAddr,
+    /// Its zone, if the list names one.
+    pub zone: Option<String>,
+}
+
+/// The list of names.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Names {
+    peers: BTreeMap<Tag, Peer>,
+    digest: u32,
+}
+
+/// How many routers watch over the share of each name.
+pub const GUARDIANS: usize = 7;
+
+impl Names {
+    /// A list; none if two names are the same in short.
+    pub fn new(peers: Vec<Peer>) -> Option<Names> {
+        let count = peers.len();
+        let peers: BTreeMap<Tag, Peer> = peers.into_iter().map(|p| (Tag::of(&p.name), p)).collect();
+        // Addresses may differ from router to router; names may not.
+        let digest = peers.keys().fold(count as u64, |h, tag| mix(h ^ tag.0)) as u32;
+        (peers.len() == count).then_some(Names { peers, digest })
+    }
+
+    /// A number that differs where the names do.
+    pub fn digest(&self) -> u32 {
+        self.digest
+    }
+
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.peers.is_empty()
+    }
+
+    /// All of them, in the order of their tags.
+    pub fn tags(&self) -> impl Iterator<Item = Tag> + '_ {
+        self.peers.keys().copied()
+    }
+
+    /// A router of the list.
+    pub fn get(&self, tag: Tag) -> Option<&Peer> {
+        self.peers.get(&tag)
+    }
+
+    /// A router's name, for people.
+    pub fn name(&self, tag: Tag) -> String {
+        self.peers.get(&tag).map_or_else(|| format!("({:016x})", tag.0), |p| p.name.clone())
+    }
+
+    /// Those who watch over a name's share: itself, and those of the others that fit it best; an odd number, so
+    /// that of two halves one always has more of them.
+    pub fn guardians(&self, slot: Tag) -> Vec<Tag> {
+        let others = self.peers.len().saturating_sub(1);
+        let mut fits: Vec<(u64, Tag)> =
+            self.tags().filter(|t| *t != slot).map(|t| (fit(t, slot.0), t)).collect();
+        fits.sort_unstable_by(|a, b| b.cmp(a));
+        let count = (GUARDIANS - 1).min(others / 2 * 2);
+        std::iter::once(slot).chain(fits.into_iter().take(count).map(|f| f.1)).collect()
+    }
+
+    /// Of these routers, those that fit something, the best first.
+    pub fn by_fit(routers: impl Iterator<Item = Tag>, what: u64) -> Vec<Tag> {
+        let mut fits: Vec<(u64, Tag)> = routers.map(|t| (fit(t, what), t)).collect();
+        fits.sort_unstable_by(|a, b| b.cmp(a));
+        fits.into_iter().map(|f| f.1).collect()
+    }
+
+    /// A name's part of a number of units: all parts are equal but for the rest of the division, and add up to
+    /// the whole. Who gets one of the rest differs from limit to limit.
+    pub fn part(&self, units: u64, slot: Tag, what: u64) -> u64 {
+        let count = self.peers.len() as u64;
+        if count == 0 || !self.peers.contains_key(&slot) {
+            return 0;
+        }
+        let mine = (fit(slot, what), slot);
+        let before = self.tags().filter(|t| (fit(*t, what), *t) > mine).count() as u64;
+        units / count + u64::from(before < units % count)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    pub(crate) fn names(count: usize) -> Names {
+        let addr = SocketAddr::from(([127, 0, 0, 1], 1));
+        let peers = (0..count).map(|n| Peer { name: format!("n{n}"), addr, zone: None }).collect();
+        Names::new(peers).expect("names that differ")
+    }
+
+    #[test]
+    fn parts_add_up_to_the_whole_and_differ_by_one_at_most() {
+        for count in [1, 2, 7, 24] {
+            let names = names(count);
+            for units in [0, 1, 5, 23, 24, 1000, 1_000_000] {
+                for what in [3, 77] {
+                    let parts: Vec<u64> = names.tags().map(|t| names.part(units, t, what)).collect();
+                    assert_eq!(parts.iter().sum::<u64>(), units);
+                    assert!(parts.iter().max().unwrap_or(&0) - parts.iter().min().unwrap_or(&0) <= 1);
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn guardians_are_odd_in_number_and_hold_the_name_itself() {
+        for (count, wanted) in [(1, 1), (2, 1), (3, 3), (4, 3), (5, 5), (8, 7), (24, 7)] {
+            let names = names(count);
+            for slot in names.tags() {
+                let guardians = names.guardians(slot);
+                assert_eq!((guardians.len(), guardians[0]), (wanted, slot));
+                let mut all = guardians.clone();
+                all.sort_unstable();
+                all.dedup();
+                assert_eq!(all.len(), wanted);
+            }
+        }
+    }
+
+    #[test]
+    fn a_name_more_changes_one_guardian_of_a_slot_at_most() {
+        let (old, new) = (names(24), names(25));
+        for slot in old.tags() {
+            let after = new.guardians(slot);
+            assert!(old.guardians(slot).iter().filter(|g| !after.contains(g)).count() <= 1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/packet.rs
@@ -0,0 +1,145 @@
+//! What routers say to each other, as postcard writes it. One packet is one datagram, [`LONGEST`] bytes at most.
+//!
+//! A packet says from which life of which router it comes and for which it is: one that was meant for an earlier
+//! life, or comes from one, carries no rights. Only a ping may come from one who does not know the other's life.
+
+use crate::limit::Key;
+use crate::names::Tag;
+use serde::{Deserialize, Serialize};
+
+/// The wire's version; another one is dropped and counted.
+pub const VERSION: u8 = 1;
+/// Most bytes of a datagram: what passes an Ethernet unbroken, with room for tunnels.
+pub const LONGEST: usize = 1200;
+/// Bytes that messages may take: the rest is the seal's and the head's.
+pub const ROOM: usize = LONGEST - 80;
+
+/// What is known of a router, by those who heard it or heard of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Word {
+    /// It answers, or says so itself.
+    Alive,
+    /// It did not answer one who asked.
+    Suspect,
+    /// Nobody has heard it in time.
+    Dead,
+    /// It has said that it goes.
+    Left,
+}
+
+/// News of a router. What it says itself of a later life or a later turn of a life counts more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// Of whom.
+    pub of: Tag,
+    /// Its life.
+    pub life: u64,
+    /// Its turn in that life: it rises whenever the router has to contradict.
+    pub turn: u32,
+    /// What is said.
+    pub word: Word,
+    /// Who says so first.
+    pub by: Tag,
+}
+
+/// A message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// An answer is asked for.
+    Ping(u32),
+    /// The answer.
+    Ack(u32),
+    /// Another router is to be asked in the sender's place.
+    AskFor(u32, Tag),
+    /// It has answered.
+    AnsweredFor(u32, Tag),
+    /// News of routers.
+    News(Vec<News>),
+    /// The sender's life is an earlier one than this, which is known of it.
+    Known(u64),
+    /// A vote on a name's share is asked for: the name, and the question's number.
+    Claim(Tag, u32),
+    /// The vote is given.
+    Vote(Tag, u32),
+    /// It is not given, as this life of a router has it, if any.
+    Taken(Tag, Option<(Tag, u64)>),
+    /// The sender no longer uses a name's share.
+    Release(Tag),
+    /// To the one who deals a limit's rights out.
+    Report(Report),
+    /// From that one.
+    Reply(Reply),
+}
+
+/// What a router needs and what it can spare.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Of which limit.
+    pub key: Key,
+    /// The question's number.
+    pub number: u32,
+    /// Units kept of the loan before.
+    pub keep: u64,
+    /// Units wanted.
+    pub want: u64,
+    /// The answer to the other's question: its number, and units that can be spared.
+    pub spare: Option<(u32, u64)>,
+}
+
+/// What a router gets, and what it is asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reply {
+    /// Of which limit.
+    pub key: Key,
+    /// The question that is answered.
+    pub number: u32,
+    /// Units lent.
+    pub units: u64,
+    /// The question for what can be spared: its number, and units kept of the loan before.
+    pub question: (u32, u64),
+}
+
+/// A packet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Packet {
+    /// Who sends it.
+    pub from: Tag,
+    /// In which life.
+    pub life: u64,
+    /// To whom.
+    pub to: Tag,
+    /// To which life of it; zero if that is not known.
+    pub to_life: u64,
+    /// Rises with each packet from this life to this router.
+    pub sequence: u64,
+    /// The sender's list of names, in short.
+    pub names: u32,
+    /// The sender's limits, in short.
+    pub limits: u32,
+    /// What it says.
+    pub messages: Vec<Message>,
+}
+
+/// What an operator asks, and what is answered: pages of lines.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Operator {
+    /// A page of the status, with a number that the answer repeats, and padding: an answer is never much longer
+    /// than its question.
+    Ask(u64, u16, Vec<u8>),
+    /// The number, the page, how many pages there are, and the page's lines.
+    Told(u64, u16, u16, String),
+}
+
+/// What a datagram holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Content {
+    /// Talk between routers.
+    Packet(Packet),
+    /// Talk with an operator.
+    Operator(Operator),
+}
+
+/// How many bytes a message takes.
+pub fn size(message: &Message) -> usize {
+    postcard::to_allocvec(message).map_or(usize::MAX, |bytes| bytes.len())
+}
--- /dev/null
+++ b/crates/fleet/src/status.rs
@@ -0,0 +1,38 @@
+//! What operators are told of a router's fleet: pages of lines.
+
+use crate::packet::{Content, Operator, LONGEST, ROOM};
+
+/// Bytes of lines on a page.
+const PAGE: usize = ROOM - 40;
+
+/// The longest question; shorter ones get shorter answers.
+pub const PADDING: usize = LONGEST - 60;
+
+/// Lines, broken into pages.
+pub fn pages(lines: &[String]) -> Vec<String> {
+    let mut pages = vec![String::new()];
+    for line in lines {
+        let line: String = line.chars().take(PAGE / 4).collect();
+        if pages.last().is_some_and(|p| p.len() + line.len() + 1 > PAGE) {
+            pages.push(String::new());
+        }
+        if let Some(page) = pages.last_mut() {
+            page.push_str(&line);
+            page.push('\n');
+        }
+    }
+    pages
+}
+
+/// The question for a page.
+pub fn question(number: u64, page: u16) -> Content {
+    Content::Operator(Operator::Ask(number, page, vec![0; PADDING]))
+}
+
+/// The answer to an operator's question; none to anything else, or to a page that is not there.
+pub fn answer(asked: &Operator, lines: impl FnOnce() -> Vec<String>) -> Option<Content> {
+    let Operator::Ask(number, page, padding) = asked else { return None };
+    let pages = pages(&lines());
+    let text = pages.get(usize::from(*page)).filter(|text| text.len() <= padding.len())?;
+    Some(Content::Operator(Operator::Told(*number, *page, pages.len() as u16, text.clone())))
+}
--- /dev/null
+++ b/crates/fleet/tests/limits.rs
@@ -0,0 +1,397 @@
+//! Limits over all routers, in simulated time: never over, whatever the links do, and used where they can be.
+
+use basalthill_fleet::fleet::Plan;
+use basalthill_fleet::{Bounds, Key, Limit, Subject, Times};
+use basalthill_policy::api::Time;
+use basalthill_standin::model::{most_at_once, names, over, Model};
+use proptest::prelude::*;
+
+const PER_S: f64 = 400.0;
+const BURST: f64 = 400.0;
+const PLACES: u32 = 30;
+const LONGEST: Time = Time::ms(1000);
+
+fn s(seconds: f64) -> Time {
+    Time((seconds * 1e9) as u64)
+}
+
+fn plan(routers: usize) -> Plan {
+    let rate = Limit {
+        name: "acme".into(),
+        subject: Subject::Tenant("acme".into()),
+        bounds: Bounds::Rate { per_s: PER_S, burst: BURST },
+        alone: 0.1,
+    };
+    let places = Limit {
+        name: "hosts".into(),
+        subject: Subject::Group(1),
+        bounds: Bounds::AtOnce(PLACES),
+        alone: 0.1,
+    };
+    Plan {
+        names: names(routers),
+        limits: vec![rate, places],
+        times: Times::new(0.01, LONGEST),
+        settle: LONGEST,
+    }
+}
+
+fn fleet(routers: usize, seed: u64) -> Model {
+    let plan = plan(routers);
+    let mut model = Model::new(plan, Some(Key::of("acme")), Some(Key::of("hosts")), LONGEST, seed);
+    (0..routers).for_each(|n| model.start(n));
+    model
+}
+
+fn admitted(model: &Model, from: f64, until: f64) -> f64 {
+    let within = model.seen.admitted.iter().filter(|(at, _)| *at >= s(from) && *at < s(until));
+    within.count() as f64 / (until - from)
+}
+
+fn assert_kept(model: &Model) {
+    let times = model.seen.admitted.iter().map(|a| a.0).collect();
+    let over = over(times, PER_S, BURST);
+    assert!(over <= 1e-6, "{over} over the rate");
+    let places: Vec<_> = model.seen.places.iter().map(|p| (p.0, p.1)).collect();
+    let most = most_at_once(&places);
+    assert!(most <= i64::from(PLACES), "{most} places at once");
+    assert!(model.seen.held_most <= 1_000_000, "{} units held", model.seen.held_most);
+}
+
+fn used(model: &Model, from: f64, until: f64) -> f64 {
+    admitted(model, from, until) / PER_S
+}
+
+fn hungry(model: &mut Model, routers: usize) {
+    (0..routers).for_each(|n| model.demand(n, 2.0 * PER_S / routers as f64, 60.0 / routers as f64));
+}
+
+#[test]
+fn ten_to_one_between_routers_uses_the_limit() {
+    let mut model = fleet(24, 1);
+    for n in 0..24 {
+        let per_s = if n % 2 == 0 { 60.0 } else { 6.0 };
+        model.demand(n, per_s, per_s / 4.0);
+    }
+    model.run(s(20.0));
+    assert_kept(&model);
+    let used = used(&model, 8.0, 20.0);
+    assert!(used >= 0.95, "{used} of the rate is used");
+}
+
+#[test]
+fn one_router_with_most_of_the_traffic_gets_what_the_others_do_not_need() {
+    let mut model = fleet(24, 2);
+    (1..24).for_each(|n| model.demand(n, 2.0, 0.2));
+    model.demand(0, 500.0, 30.0);
+    model.run(s(20.0));
+    assert_kept(&model);
+    let used = used(&model, 8.0, 20.0);
+    assert!(used >= 0.9, "{used} of the rate is used");
+}
+
+#[test]
+fn demand_that_moves_is_followed_within_two_seconds() {
+    let mut model = fleet(12, 3);
+    model.demand(0, 600.0, 0.0);
+    model.run(s(15.0));
+    model.demand(0, 0.0, 0.0);
+    model.demand(1, 600.0, 0.0);
+    model.run(s(25.0));
+    assert_kept(&model);
+    let (before, after) = (used(&model, 8.0, 15.0), used(&model, 17.0, 25.0));
+    assert!(before >= 0.85 && after >= 0.85, "{before} and {after} of the rate are used");
+}
+
+#[test]
+fn a_split_keeps_the_limit_and_two_seconds_after_it_heals_the_limit_is_used() {
+    for (seed, groups) in [
+        (4, vec![(0..12).collect(), (12..24).collect()]),
+        (5, vec![(0..8).collect(), (8..16).collect(), (16..24).collect::<Vec<_>>()]),
+        (6, vec![vec![0], (1..24).collect()]),
+    ] {
+        let mut model = fleet(24, seed);
+        hungry(&mut model, 24);
+        model.run(s(12.0));
+        model.links.split(&groups);
+        model.run(s(32.0));
+        model.links.cut.clear();
+        model.run(s(42.0));
+        assert_kept(&model);
+        let (before, split, after) =
+            (used(&model, 6.0, 12.0), used(&model, 22.0, 32.0), used(&model, 34.0, 42.0));
+        eprintln!("{} groups: {before:.3} before, {split:.3} in the split, {after:.3} after", groups.len());
+        assert!(before >= 0.95 && after >= 0.95, "{before} before, {after} after");
+        // Of two sides one holds each share; of three, shares may have most of their guardians on none.
+        assert!(split >= if groups.len() == 2 { 0.93 } else { 0.25 }, "{split} in the split");
+    }
+}
+
+#[test]
+fn one_way_cuts_and_cuts_that_come_and_go_keep_the_limit() {
+    let mut model = fleet(8, 7);
+    hungry(&mut model, 8);
+    for second in 0..30 {
+        model.links.cut.clear();
+        if second % 2 == 0 {
+            // Four hear nothing of the others, who hear them.
+            model.links.cut.extend((0..4).flat_map(|a| (4..8).map(move |b| (b, a))));
+        }
+        model.run(s(f64::from(second) + 1.0));
+    }
+    assert_kept(&model);
+    assert!(used(&model, 10.0, 30.0) > 0.5);
+}
+
+#[test]
+fn a_killed_router_s_share_is_taken_over_and_given_back() {
+    let mut model = fleet(8, 8);
+    hungry(&mut model, 8);
+    model.run(s(10.0));
+    (0..3).for_each(|n| model.kill(n));
+    model.run(s(25.0));
+    let without = used(&model, 20.0, 25.0);
+    (0..3).for_each(|n| model.start(n));
+    model.run(s(40.0));
+    assert_kept(&model);
+    let again = used(&model, 32.0, 40.0);
+    // Of three of eight, what each keeps whatever happens lies idle: a tenth of its share.
+    assert!(without >= 0.9 * (1.0 - 0.1 * 3.0 / 8.0), "{without} is used without the three");
+    assert!(again >= 0.95, "{again} is used again");
+}
+
+#[test]
+fn killed_while_it_holds_most_and_back_within_a_second() {
+    let mut model = fleet(8, 9);
+    model.demand(0, 800.0, 60.0);
+    model.run(s(10.0));
+    for n in 0..6 {
+        model.kill(0);
+        model.run(s(10.3 + 3.0 * f64::from(n)));
+        model.start(0);
+        model.run(s(13.0 + 3.0 * f64::from(n)));
+    }
+    assert_kept(&model);
+}
+
+#[test]
+fn a_frozen_router_wakes_and_spends_nothing_that_has_lapsed() {
+    let mut model = fleet(8, 10);
+    hungry(&mut model, 8);
+    model.demand(0, 800.0, 60.0);
+    for n in 0..5 {
+        model.run(s(10.0 + 8.0 * f64::from(n)));
+        model.freeze(0);
+        model.run(s(16.0 + 8.0 * f64::from(n)));
+        model.thaw(0);
+    }
+    model.run(s(60.0));
+    assert_kept(&model);
+    assert!(used(&model, 54.0, 60.0) >= 0.9);
+}
+
+#[test]
+fn a_wall_clock_set_back_by_an_hour_does_not_keep_a_router_out() {
+    let mut model = fleet(5, 11);
+    hungry(&mut model, 5);
+    model.run(s(8.0));
+    model.kill(0);
+    model.wall(0, -3_600_000);
+    model.run(s(9.0));
+    model.start(0);
+    model.run(s(25.0));
+    assert_kept(&model);
+    let lines = model.lines(1);
+    assert!(lines.iter().any(|l| l.starts_with("member n0 alive")), "{lines:?}");
+    let mine = model.seen.admitted.iter().filter(|(at, n)| *n == 0 && *at > s(18.0)).count();
+    assert!(mine > 100, "{mine} by the router whose clock was set back");
+}
+
+#[test]
+fn three_hundred_started_at_once_find_each_other() {
+    let mut model = fleet(300, 12);
+    model.run(s(10.0));
+    let alive = (0..300).map(|n| model.fleet(n).map_or(0, |f| f.swim().living().count()));
+    let least = alive.min().unwrap_or(0);
+    assert!(least >= 299, "{least} of 300 are known alive somewhere");
+    let per_router = model.seen.datagrams as f64 / 300.0 / 10.0;
+    assert!(per_router < 80.0, "{per_router} datagrams a second and router");
+}
+
+#[test]
+fn lost_delayed_and_repeated_datagrams_keep_the_limit() {
+    let mut model = fleet(12, 13);
+    model.links.loss = 300;
+    model.links.twice = 200;
+    model.links.delay_us = (100, 150_000);
+    hungry(&mut model, 12);
+    model.run(s(30.0));
+    assert_kept(&model);
+    let used = used(&model, 10.0, 30.0);
+    assert!(used > 0.8, "{used} of the rate is used");
+}
+
+#[test]
+fn other_limits_and_other_names_exchange_no_rights() {
+    let mut model = fleet(8, 14);
+    hungry(&mut model, 8);
+    model.run(s(8.0));
+    let mut less = plan(8);
+    less.limits[0].bounds = Bounds::Rate { per_s: PER_S / 2.0, burst: BURST / 2.0 };
+    (0..4).for_each(|n| model.reload(n, less.clone()));
+    model.run(s(20.0));
+    assert_kept(&model);
+    let said = |model: &Model, part: &str| model.seen.said.iter().any(|(_, _, line)| line.contains(part));
+    assert!(said(&model, "has other limits"));
+    // Half of the names under the smaller limit, half under the larger.
+    let mixed = used(&model, 14.0, 20.0);
+    assert!((0.6..=0.78).contains(&mixed), "{mixed} of the larger rate is used");
+    (4..8).for_each(|n| model.reload(n, less.clone()));
+    model.run(s(36.0));
+    assert!(said(&model, "has the same names and limits"));
+    let times = model.seen.admitted.iter().map(|a| a.0).filter(|at| *at > s(26.0)).collect();
+    let over = over(times, PER_S / 2.0, BURST / 2.0);
+    assert!(over <= 1e-6, "{over} over the smaller rate");
+    assert!(admitted(&model, 28.0, 36.0) >= 0.95 * PER_S / 2.0);
+}
+
+#[test]
+fn a_name_more_and_a_name_less() {
+    let mut model = Model::new(plan(9), Some(Key::of("acme")), None, LONGEST, 15);
+    model.plan(plan(8));
+    (0..8).for_each(|n| model.start(n));
+    hungry(&mut model, 8);
+    model.run(s(8.0));
+    model.plan(plan(9));
+    model.start(8);
+    model.demand(8, 100.0, 0.0);
+    (0..8).for_each(|n| {
+        model.reload(n, plan(9));
+        model.run(s(8.0 + 0.2 * n as f64));
+    });
+    model.run(s(30.0));
+    assert_kept(&model);
+    assert!(used(&model, 20.0, 30.0) >= 0.95);
+    let ninth = model.seen.admitted.iter().filter(|(at, n)| *n == 8 && *at > s(20.0)).count();
+    assert!(ninth > 200, "{ninth} by the new name");
+}
+
+#[test]
+fn one_that_leaves_in_good_order_is_told_apart_from_one_that_died() {
+    let mut model = fleet(8, 16);
+    hungry(&mut model, 8);
+    model.run(s(8.0));
+    model.stop(0);
+    model.run(s(9.0));
+    let left = model.seen.said.iter().filter(|(_, _, line)| line.contains("n0 has left")).count();
+    assert_eq!(left, 7);
+    model.run(s(18.0));
+    assert!(!model.seen.said.iter().any(|(_, _, line)| line.contains("n0 is dead")));
+    assert_kept(&model);
+    let used = used(&model, 13.0, 18.0);
+    assert!(used >= 0.9, "{used} of the rate is used");
+}
+
+#[test]
+fn forged_cut_replayed_and_newer_datagrams_are_counted_and_change_nothing() {
+    use basalthill_fleet::seal::Dropped;
+    let mut model = fleet(3, 17);
+    hungry(&mut model, 3);
+    model.record(true);
+    model.run(s(4.0));
+    let recorded = model.recorded();
+    assert!(recorded.len() > 50);
+    model.kill(0);
+    model.run(s(4.5));
+    model.start(0);
+    let before = model.lines(1);
+    for (to, bytes) in recorded.iter().filter(|(to, _)| *to == 0) {
+        let mut forged = bytes.clone();
+        let at = forged.len() - 1;
+        forged[at] ^= 1;
+        let mut newer = bytes.clone();
+        newer[0] += 1;
+        for bytes in [bytes.clone(), forged, newer, bytes[..bytes.len() / 2].to_vec(), vec![]] {
+            model.inject(*to, &bytes);
+        }
+    }
+    let counts = model.fleet(0).map(|f| f.counts().clone()).unwrap_or_default();
+    for why in [Dropped::Forged, Dropped::Version, Dropped::Malformed, Dropped::OtherLife] {
+        assert!(counts.dropped.get(&why).is_some_and(|n| *n > 10), "{why:?} in {counts:?}");
+    }
+    // All of it again to one that lives on: it has had them.
+    recorded.iter().filter(|(to, _)| *to == 1).for_each(|(to, bytes)| model.inject(*to, bytes));
+    let counts = model.fleet(1).map(|f| f.counts().clone()).unwrap_or_default();
+    assert!(counts.dropped.get(&Dropped::Repeated).is_some_and(|n| *n > 10), "{counts:?}");
+    assert_eq!(before.iter().filter(|l| l.starts_with("share")).count(), 1);
+    model.run(s(20.0));
+    assert_kept(&model);
+}
+
+#[derive(Clone, Debug)]
+enum Fault {
+    Split(u64),
+    Heal,
+    Kill(usize),
+    Start(usize),
+    Freeze(usize),
+    Thaw(usize),
+    Loss(u64),
+    Delay(u64),
+    Demand(usize, u32),
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        any::<u64>().prop_map(Fault::Split),
+        Just(Fault::Heal),
+        (0..40usize).prop_map(Fault::Kill),
+        (0..40usize).prop_map(Fault::Start),
+        (0..40usize).prop_map(Fault::Freeze),
+        (0..40usize).prop_map(Fault::Thaw),
+        (0..600u64).prop_map(Fault::Loss),
+        (1..400_000u64).prop_map(Fault::Delay),
+        ((0..40usize), (0..800u32)).prop_map(|(n, per_s)| Fault::Demand(n, per_s)),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 16, ..ProptestConfig::default() })]
+
+    #[test]
+    fn never_over_whatever_happens(
+        routers in prop_oneof![4 => 3..9usize, 1 => 9..41usize],
+        seed in any::<u64>(),
+        faults in prop::collection::vec((50..2500u64, fault()), 1..24),
+    ) {
+        let mut model = fleet(routers, seed);
+        hungry(&mut model, routers);
+        model.links.twice = 50;
+        for (wait_ms, fault) in faults {
+            let until = model.now.plus(Time::ms(wait_ms));
+            model.run(until);
+            match fault {
+                Fault::Split(sides) => {
+                    let side = |n: usize| (sides >> (2 * (n % 32)) & 3) as usize % 3;
+                    let group = |g| (0..routers).filter(|n| side(*n) == g).collect();
+                    model.links.split(&[group(0), group(1), group(2)]);
+                }
+                Fault::Heal => model.links.cut.clear(),
+                Fault::Kill(n) => model.kill(n % routers),
+                Fault::Start(n) => {
+                    let runs = model.runs(n % routers);
+                    if !runs {
+                        model.start(n % routers);
+                    }
+                }
+                Fault::Freeze(n) => model.freeze(n % routers),
+                Fault::Thaw(n) => model.thaw(n % routers),
+                Fault::Loss(loss) => model.links.loss = loss,
+                Fault::Delay(most) => model.links.delay_us = (50, 50 + most),
+                Fault::Demand(n, per_s) => model.demand(n % routers, f64::from(per_s), f64::from(per_s) / 8.0),
+            }
+        }
+        model.run(model.now.plus(s(3.0)));
+        assert_kept(&model);
+    }
+}
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -48,6 +48,7 @@
 const ZONE_TIMES: f64 = 30.0; // bias against crossing zones, times its price
 const SPILL_LEAST: f64 = 0.25; // a read spills while writes are expected within this share of their aim,
 const SPILL_SPAN: f64 = 0.35; // and this much more by its worth for its work
+const LAST_PART: f64 = 0.5; // of a limit: the less a request is worth, the more of this it leaves
 const COLD_SHARE: f64 = 0.75; // part of the fall multiple used at a cold member
 const COLD_LEAST: f64 = 0.8; // work per second that it gets from all routers, if none has served anything
 const SERVED_OVER_S: f64 = 60.0; // memory of a router's own rate: long, or a jam starves the cold
@@ -83,6 +84,7 @@
     doubt: bool,
     lost: Time,
     in_flight: u32,
+    most: Option<u32>, // attempts that all routers' limit leaves to this one
     cap: f64,
     cut: Time,
     wait: (f64, Time),
@@ -220,6 +222,8 @@
             Event::List(ListForm::Failed, _) | Event::Started(..) | Event::Message(..) => {}
             Event::List(form, entries) => self.list(form, entries, out),
             Event::Request(req) => self.request(req, out),
+            Event::Scarce(req, open, back) => self.scarce(req, open, back, out),
+            Event::Room(id, most) => self.members.get_mut(&id).into_iter().for_each(|m| m.most = Some(most)),
             Event::Outcome(o) => self.outcome(o, out),
             Event::Lapsed(id) => self.forget(id, out),
             Event::Probed(m, status, _, report) => self.probed(m, status, report, out),
@@ -266,8 +270,7 @@
                 m.role = Some((Role::Primary, as_of));
             }
         }
-        // Members come and go for weeks: a group that kept all would cost each request more than the one
-        // before.
+        // Members come and go for weeks: a group that kept all would cost each request more and more.
         self.groups.clear();
         let parted = |m: &Member| m.draining.is_some_and(|at| self.now.since(at) > PARTED);
         for (id, m) in self.members.iter().filter(|(_, m)| m.in_flight > 0 || !parted(m)) {
@@ -320,10 +323,9 @@
         ids.filter_map(|id| self.members.get(id).map(|m| (*id, m)))
     }
 
-    /// What a connection that is not there weighs. A router that meets a group seldom would else open,
-    /// and let lapse, one to each member: of many routers each keeps to its own part of the group, drawn
-    /// by itself, so that the parts cover it evenly, and goes beyond when more are in flight or answers
-    /// come late there.
+    /// What a connection that is not there weighs. A router that meets a group seldom would open, and let
+    /// lapse, one to each member: of many routers each keeps to a part of the group, drawn by itself so that
+    /// the parts cover it evenly, and goes beyond when more are in flight or answers come late there.
     fn lean(&self, m: &Member) -> f64 {
         let held = self.now.since(m.answered) < self.set.conn_idle.times(HELD_SHARE);
         let weight = if held { 0.0 } else { 1.0 - self.few() };
@@ -358,8 +360,7 @@
         (self.set.cold_from + (1.0 - self.set.cold_from) * part).min(1.0)
     }
 
-    /// Seconds that answers take at a member beyond their class's own time: what it showed lately and, the
-    /// longer ago that is, the more what members of its role show this router.
+    /// Seconds beyond their class's own time that answers take there: as shown of late, then its role's.
     fn wait(&self, m: &Member) -> f64 {
         let known = self.faded((1.0, m.wait.1), WAIT_FADE_S);
         m.wait.0 * known + self.faded(self.waits[m.leads()], WAITS_FADE_S) * (1.0 - known)
@@ -395,7 +396,7 @@
         let copy = out > 0 && (!self.set.second_copies || class.effect == Effect::Unsafe || out > 1);
         let drained =
             m.draining.is_some_and(|at| at.plus(self.set.drain_grace) <= self.now.plus(self.set.tick));
-        if m.group != job.req.group || spent || copy || drained {
+        if m.group != job.req.group || spent || copy || drained || m.most == Some(0) {
             return false;
         }
         if let Some(first) = job.may_have_run() {
@@ -412,11 +413,10 @@
         !stale && (self.warmth(m) >= 1.0 || self.credit(m) >= 0.0 || drawn())
     }
 
-    /// The part of what it is asked for in a cold member's group that one of many routers sends there.
-    /// One that meets a group every few seconds can't save up for a request while the member is cold;
-    /// parts add up as rates do. The group is taken to ask for as much as others, or more if it does so
-    /// here, and all of it to come to this member: which of the others still take something a thinly used
-    /// router can't know.
+    /// The part of what it is asked for in a cold member's group that one of many routers sends there. One
+    /// that meets a group every few seconds can't save up for a request meanwhile; parts add up as rates do.
+    /// The group is taken to ask for as much as others, or more if it does so here, and all of it to come to
+    /// this member: which of the others still take something a thinly used router can't know.
     fn cold_part(&self, job: &Job, id: MemberId, m: &Member) -> f64 {
         let needs = needs(&self.set.classes[job.c]);
         if needs == 0 && Some(id) == self.primary(m.group) {
@@ -480,8 +480,7 @@
 
     // ---- Choosing a member ----
 
-    /// The class gate. Known positions pass as in the design; where members check reads themselves, an
-    /// estimate passes too, since a miss there is proved unrun.
+    /// The class gate. Known positions pass as in the design, estimates where members check reads themselves.
     fn passes(&self, job: &Job, id: MemberId, m: &Member, estimated: bool) -> bool {
         let is_primary = self.primary(job.req.group) == Some(id);
         let at = if estimated { self.estimate(m) } else { m.position.map(|p| p.0) };
@@ -555,8 +554,7 @@
                 best = Some((cost, *id));
             }
         }
-        // A replica that passes in a moment is waited for, where the request says so: the last resort is not
-        // due.
+        // A replica that passes in a moment is waited for, where the request says so: no last resort yet.
         if soon && !some {
             return None;
         }
@@ -588,19 +586,32 @@
         closed && self.room(m, 1.0) && self.legal(job, id)
     }
 
-    /// The primary as last resort, while writes there are expected well within their aim: the more a read is
-    /// worth for its work, the longer.
+    /// The primary as last resort, while writes there are well within their aim: longer for more worth.
     fn spills(&self, job: &Job, id: MemberId) -> bool {
         let Some(m) = self.members.get(&id) else { return false };
         let (wait, classes) = (self.wait(m), self.set.classes.iter().zip(&self.base));
-        let best = classes.clone().map(|(c, base)| c.worth / base).fold(1e-9, f64::max);
         let writes = classes.filter(|(c, _)| c.consistency == Consistency::Write);
         let crowding = writes.map(|(c, base)| (base + wait) / c.aim.secs()).fold(0.0, f64::max);
-        let (worth, base) = (self.set.classes[job.c].worth, self.base[job.c]);
-        let limit = (SPILL_LEAST + SPILL_SPAN * worth / base / best) * job.worth / worth;
+        let limit = (SPILL_LEAST + self.value(job.c, SPILL_SPAN)) * job.worth / self.set.classes[job.c].worth;
         crowding <= limit && !self.crowded(job, m) && self.primary_takes(job, id)
     }
 
+    /// A class's worth for its work, times a figure, as a share of the best class's.
+    fn value(&self, c: usize, times: f64) -> f64 {
+        let classes = self.set.classes.iter().zip(&self.base);
+        let best = classes.map(|(c, base)| c.worth / base).fold(1e-9, f64::max);
+        times * self.set.classes[c].worth / self.base[c] / best
+    }
+
+    /// Of what is open under limits over all routers, the last part is for what is worth most for its work.
+    fn scarce(&mut self, req: Request, open: f64, back: Time, out: &mut Vec<Action>) {
+        if open > 0.0 && open >= LAST_PART - self.value(usize::from(req.class.0), LAST_PART) {
+            return self.request(req, out);
+        }
+        let after = back.min(self.set.max_retry_after);
+        out.push(Action::Refuse(req.id, self.set.retry_after.then_some(after)));
+    }
+
     fn request(&mut self, req: Request, out: &mut Vec<Action>) {
         let c = usize::from(req.class.0);
         let Some(class) = self.set.classes.get(c) else { return out.push(Action::Fail(req.id)) };
@@ -619,9 +630,8 @@
         self.place(id, out);
     }
 
-    /// How long ago a request was asked first. Many clients of a class come with the same times left
-    /// (found by votes, those with a quarter of all); one with another and less has waited for a router
-    /// that stood still, or through an earlier try, and its aim runs from then on.
+    /// How long ago a request was asked first. Many clients of a class come with the same time left (by
+    /// votes, a quarter of all); one with less waited for a router or through a try: its aim has begun.
     fn age(&mut self, c: usize, left: Time) -> Time {
         let (votes, near) = (&mut self.usual[c], self.set.tick.times(3.0));
         let same = |v: &(Time, u32)| v.1 > 0 && left.since(v.0).max(v.0.since(left)) < near;
@@ -697,6 +707,7 @@
         let limit = job.req.give_up.since(now.plus(self.set.tick)).max(self.set.tick);
         job.tries.push(Try { member, sent: now, status: None, lost: false });
         (m.in_flight, m.credit) = (m.in_flight + 1, (credit - base, now));
+        m.most = m.most.map(|n| n.saturating_sub(1));
         out.push(Action::Send(id, member, Some(limit)));
     }
 
--- a/crates/router/src/program/mod.rs
+++ b/crates/router/src/program/mod.rs
@@ -1,6 +1,7 @@
 //! The command line, the logger, start and stop.
 
 mod ask;
+mod fleet;
 mod logger;
 
 use crate::protocol::host::{self, Ending, HostMessage, HostSide};
@@ -42,6 +43,8 @@
     /// Ask routers one thing, as a client with retries and a deadline; exit code 0 if it was served, 1 if
     /// not, 3 if it may have run all the same.
     Ask(ask::Options),
+    /// Ask a running router about its fleet: members with their states, each limit with its shares.
+    Fleet(fleet::Options),
     /// Print the version.
     Version,
 }
@@ -98,6 +101,7 @@
             }
         },
         Command::Ask(options) => ask::run(options),
+        Command::Fleet(options) => fleet::run(&options),
         Command::Serve(argument) => match files(argument) {
             Ok(files) => serve(files),
             Err(e) => bad(&e),
--- /dev/null
+++ b/crates/router/src/routing/limits.rs
@@ -0,0 +1,254 @@
+//! Limits that hold over all routers, where the settings name a fleet: what is open goes to the decisions with
+//! each request, and what was admitted is told the fleet's core. It decides nothing.
+
+use super::{Effect, Router};
+use basalthill_config::own::FleetSettings;
+use basalthill_config::settings::Site;
+use basalthill_fleet::fleet::{Effect as Word, Plan};
+use basalthill_fleet::packet::{Operator, Packet};
+use basalthill_fleet::seal::Dropped;
+use basalthill_fleet::{Bounds, Fleet, Key, Limit, Seal, Subject, Times};
+use basalthill_policy::api::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+/// What the fleet's driver brings.
+#[derive(Debug)]
+pub enum FromFleet {
+    /// A packet whose seal is right.
+    Packet(Packet),
+    /// An operator asks, from an address.
+    Operator(Operator, SocketAddr),
+    /// So many datagrams have been dropped.
+    Dropped(Dropped, u64),
+}
+
+/// A fleet's plan as a deployment's settings need it.
+pub fn plan(site: &Site, fleet: &FleetSettings) -> Plan {
+    let longest = site.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
+    let at_once = fleet.limits.iter().any(|l| matches!(l.bounds, Bounds::AtOnce(_)));
+    let longest = if at_once { longest } else { Time(0) };
+    Plan {
+        names: fleet.names.clone(),
+        limits: fleet.limits.clone(),
+        times: Times::new(fleet.drift, longest),
+        settle: longest,
+    }
+}
+
+/// The fleet's core, and what routing has to know of its limits.
+pub struct Limits {
+    pub(super) fleet: Fleet,
+    /// The limit on attempts out at each member, if there is one.
+    each: Option<String>,
+    keys: BTreeMap<MemberId, Key>,
+    groups: BTreeMap<GroupId, BTreeSet<MemberId>>,
+    /// What the decisions take each member's room for.
+    told: BTreeMap<MemberId, u32>,
+    longest: Time,
+}
+
+impl Limits {
+    /// The limits of a router that has just started.
+    pub fn new(now: Time, name: &str, site: &Site, settings: &FleetSettings, seed: u64) -> Limits {
+        let (plan, seal) = (plan(site, settings), Seal::new(settings.keys.clone()));
+        let (each, longest) = (each(&plan.limits), plan.settle);
+        let fleet = Fleet::new(now, name, now.0 / 1_000_000, plan, seal, seed);
+        let (keys, groups, told) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+        Limits { fleet, each, keys, groups, told, longest }
+    }
+
+    /// Keys of the limits that count a request.
+    fn of_request(&self, class: &str, tenant: &str, group: GroupId) -> Vec<Key> {
+        let counts = |limit: &&Limit| match &limit.subject {
+            Subject::Tenant(name) => name == tenant,
+            Subject::Class(name) => name == class,
+            Subject::Group(number) => *number == group.0,
+            Subject::EachMember => false,
+        };
+        self.fleet.limits().iter().filter(counts).map(|l| Key::of(&l.name)).collect()
+    }
+
+    fn number(id: RequestId, attempt: Attempt) -> u64 {
+        id.0 << 16 | u64::from(attempt.0)
+    }
+}
+
+fn each(limits: &[Limit]) -> Option<String> {
+    limits.iter().find(|l| l.subject == Subject::EachMember).map(|l| l.name.clone())
+}
+
+impl Router {
+    /// Keeps limits with other routers from now on.
+    pub fn join(
+        &mut self,
+        now: Time,
+        name: &str,
+        settings: &FleetSettings,
+        seed: u64,
+        out: &mut Vec<Effect>,
+    ) {
+        self.limits = Some(Limits::new(now, name, &self.site, settings, seed));
+        self.list_limits(now);
+        self.tell_rooms(now);
+        self.run(now, out);
+    }
+
+    /// Takes a fleet's settings over that have been read again.
+    pub fn rejoin(&mut self, now: Time, settings: &FleetSettings, out: &mut Vec<Effect>) {
+        let plan = plan(&self.site, settings);
+        let Some(limits) = &mut self.limits else { return };
+        (limits.each, limits.longest) = (each(&plan.limits), plan.settle);
+        let mut said = Vec::new();
+        limits.fleet.reload(now, plan, Seal::new(settings.keys.clone()), &mut said);
+        said_by_fleet(said, out);
+        self.list_limits(now);
+        self.tell_rooms(now);
+        self.run(now, out);
+    }
+
+    /// Leaves the fleet in good order.
+    pub fn leave(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let mut said = Vec::new();
+        self.limits.iter_mut().for_each(|l| l.fleet.leave(now, &mut said));
+        said_by_fleet(said, out);
+    }
+
+    pub(super) fn fleet_says(&mut self, now: Time, input: FromFleet, out: &mut Vec<Effect>) {
+        let Some(limits) = &mut self.limits else { return };
+        let mut said = Vec::new();
+        match input {
+            FromFleet::Packet(packet) => limits.fleet.packet(now, packet, &mut said),
+            FromFleet::Operator(asked, addr) => {
+                let answer = limits.fleet.operator(now, &asked);
+                said.extend(answer.map(|bytes| Word::Send(addr, bytes)));
+            }
+            FromFleet::Dropped(why, count) => limits.fleet.dropped(why, count),
+        }
+        said_by_fleet(said, out);
+        self.tell_rooms(now);
+    }
+
+    pub(super) fn fleet_due(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let Some(limits) = self.limits.as_mut().filter(|l| now >= l.fleet.next_due()) else { return };
+        let mut said = Vec::new();
+        limits.fleet.tick(now, &mut said);
+        said_by_fleet(said, out);
+        self.tell_rooms(now);
+    }
+
+    /// The members that there are, for the limit on each of them.
+    pub(super) fn list_limits(&mut self, now: Time) {
+        let Some(limits) = &mut self.limits else { return };
+        let Some(name) = &limits.each else { return };
+        limits.keys.clear();
+        limits.groups.clear();
+        let mut ids = Vec::new();
+        for (id, member, group) in self.members.all() {
+            limits.keys.insert(member, Key::at(name, id));
+            limits.groups.entry(group).or_default().insert(member);
+            ids.push(id.to_string());
+        }
+        limits.fleet.members(now, ids);
+    }
+
+    /// Tells the decisions each member's room that is not what they take it for.
+    fn tell_rooms(&mut self, now: Time) {
+        let Some(limits) = &mut self.limits else { return };
+        if limits.each.is_none() {
+            // A limit that is gone leaves no bound behind.
+            let open = std::mem::take(&mut limits.told).into_keys();
+            return self.events.extend(open.map(|m| Event::Room(m, u32::MAX)));
+        }
+        for (member, key) in &limits.keys {
+            let room = limits.fleet.room(now, *key, limits.longest).min(u64::from(u32::MAX)) as u32;
+            if limits.told.get(member) != Some(&room) {
+                self.events.push_back(Event::Room(*member, room));
+            }
+        }
+    }
+
+    /// What a request is to the decisions: one that limits count brings what is open of them.
+    pub(super) fn limited(&mut self, now: Time, request: Request) -> (Event, Vec<Key>) {
+        let Some(limits) = &mut self.limits else { return (Event::Request(request), Vec::new()) };
+        // Where a member's room is what keeps a request, more of it is wanted.
+        for member in limits.groups.get(&request.group).into_iter().flatten() {
+            if limits.told.get(member) == Some(&0) {
+                limits.keys.get(member).into_iter().for_each(|key| limits.fleet.missed(*key));
+            }
+        }
+        let class = &self.site.classes[usize::from(request.class.0)];
+        let tenant = self.site.tenants.get(usize::from(request.tenant.0)).map_or("", String::as_str);
+        let keys = limits.of_request(class, tenant, request.group);
+        if keys.is_empty() {
+            return (Event::Request(request), keys);
+        }
+        let open = limits.fleet.open(now, &keys);
+        (Event::Scarce(request, open.share, open.back), keys)
+    }
+
+    /// The decisions have had a request: what it counts under has been spent, or another's turn is further off.
+    pub(super) fn admitted(&mut self, id: RequestId, keys: &[Key]) {
+        let taken = self.requests.get(id).is_some_and(|open| !open.answered || open.served);
+        if let Some(limits) = self.limits.as_mut().filter(|_| !keys.is_empty()) {
+            match taken {
+                true => limits.fleet.spend(keys),
+                false => limits.fleet.refused(keys),
+            }
+        }
+    }
+
+    /// An attempt is out.
+    pub(super) fn begun(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        attempt: Attempt,
+        member: MemberId,
+        until: Time,
+    ) {
+        let Some(limits) = &mut self.limits else { return };
+        if let Some(key) = limits.keys.get(&member) {
+            limits.fleet.begun(now, *key, Limits::number(id, attempt), until);
+            // The decisions have counted it already.
+            limits.told.entry(member).and_modify(|n| *n = n.saturating_sub(1));
+        }
+    }
+
+    /// An attempt has ended. One that its host may still work on keeps its place until its time is over.
+    pub(super) fn place_back(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        attempt: Attempt,
+        member: MemberId,
+        status: Status,
+    ) {
+        let Some(limits) = &mut self.limits else { return };
+        let Some(key) = limits.keys.get(&member) else { return };
+        if !matches!(status, Status::Cancelled | Status::Timeout | Status::Reset) {
+            limits.fleet.ended(now, *key, Limits::number(id, attempt));
+        }
+        self.events.push_back(Event::Room(member, 0));
+    }
+
+    /// An event as it is to be handed on: a room is told as it is now, after all that was sent meanwhile.
+    pub(super) fn as_of_now(&mut self, now: Time, event: Event) -> Event {
+        let (Event::Room(member, _), Some(limits)) = (&event, &mut self.limits) else { return event };
+        let Some(key) = limits.keys.get(member).filter(|_| limits.each.is_some()) else {
+            return Event::Room(*member, u32::MAX);
+        };
+        let room = limits.fleet.room(now, *key, limits.longest).min(u64::from(u32::MAX)) as u32;
+        limits.told.insert(*member, room);
+        Event::Room(*member, room)
+    }
+}
+
+fn said_by_fleet(said: Vec<Word>, out: &mut Vec<Effect>) {
+    for one in said {
+        match one {
+            Word::Send(addr, bytes) => out.push(Effect::Datagram(addr, bytes)),
+            Word::Say(line) => log::info!("{line}"),
+        }
+    }
+}
--- a/crates/router/src/routing/members.rs
+++ b/crates/router/src/routing/members.rs
@@ -16,6 +16,7 @@
 pub struct Members {
     ids: BTreeMap<String, MemberId>,
     addrs: Vec<Option<SocketAddr>>,
+    of_group: Vec<GroupId>,
     parting: Vec<Parting>,
     only_draining_binds: bool,
     groups: BTreeSet<GroupId>,
@@ -28,6 +29,7 @@
         Members {
             ids: BTreeMap::new(),
             addrs: Vec::new(),
+            of_group: Vec::new(),
             parting: Vec::new(),
             only_draining_binds,
             groups: BTreeSet::new(),
@@ -56,6 +58,7 @@
             let member = *self.ids.entry(host.id).or_insert(next);
             if member == next {
                 self.addrs.push(None);
+                self.of_group.push(GroupId(host.cell));
                 self.parting.push(Parting::default());
             }
             let parting = &mut self.parting[member.0 as usize];
@@ -74,6 +77,7 @@
                 (None, _) => log::warn!("discovery: address {:?} can't be read", host.addr),
             }
             let group = GroupId(host.cell);
+            self.of_group[member.0 as usize] = group;
             self.groups.insert(group);
             let zone = self.zones.iter().position(|z| *z == host.zone).unwrap_or_else(|| {
                 self.zones.push(host.zone);
@@ -107,6 +111,12 @@
         self.addrs.get(member.0 as usize).copied().flatten()
     }
 
+    /// Names, ids and groups of all members that have not left.
+    pub fn all(&self) -> impl Iterator<Item = (&str, MemberId, GroupId)> {
+        let there = self.ids.iter().filter(|(_, m)| self.parting(**m).is_none());
+        there.map(|(name, m)| (name.as_str(), *m, self.of_group[m.0 as usize]))
+    }
+
     /// Whether any member of this group has been named.
     pub fn has_group(&self, group: GroupId) -> bool {
         self.groups.contains(&group)
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -2,6 +2,7 @@
 //! timers. Free of I/O: an input with its time goes in, effects come out. It decides nothing.
 
 mod clock;
+mod limits;
 mod members;
 mod proxies;
 mod requests;
@@ -11,6 +12,7 @@
 mod timers;
 
 pub use clock::Clock;
+pub use limits::FromFleet;
 pub use tally::Tally;
 
 use crate::protocol::discovery::HostList;
@@ -19,9 +21,11 @@
 use basalthill_config::settings::{Reports, Site};
 use basalthill_extproc::lease::StreamId;
 use basalthill_extproc::{Call, Desk, LeaseId, Say, Told};
+use basalthill_fleet::Key;
 use basalthill_policy::api::*;
 use basalthill_policy::Policy;
 use basalthill_session::{Counts, Sessions};
+use limits::Limits;
 use members::Members;
 use requests::{Exchange, Open, Probes, Requests};
 use std::collections::{BTreeMap, VecDeque};
@@ -75,6 +79,8 @@
     List(HostList),
     /// Another proxy says something on a stream of its own.
     Proxy(StreamId, Spoken),
+    /// Another router says something, or an operator asks.
+    Fleet(FromFleet),
     /// Timers that are due may fire.
     Tick,
     /// The program is about to end: what is unanswered is failed.
@@ -139,6 +145,8 @@
     Token(ClientId, String),
     /// Tell another proxy; the address goes with a member.
     Proxy(StreamId, Say, Option<SocketAddr>),
+    /// Send a datagram to another router or an operator.
+    Datagram(SocketAddr, Vec<u8>),
     /// Answer a client.
     Answer(ClientId, Answer),
     /// Close the idle connections to an address.
@@ -154,6 +162,8 @@
     sessions: Sessions,
     /// Calls of other proxies, where they are served.
     desk: Option<Desk>,
+    /// Limits over all routers, where there are any.
+    limits: Option<Limits>,
     members: Members,
     /// When each client's connection was accepted.
     accepted: BTreeMap<ClientId, Time>,
@@ -182,6 +192,7 @@
             site,
             sessions,
             desk: None,
+            limits: None,
             members,
             accepted: BTreeMap::new(),
             requests: Requests::default(),
@@ -201,7 +212,12 @@
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Effect>) {
         match input {
             Input::ClientCame(client) => drop(self.accepted.insert(client, now)),
-            Input::Request(client, statement) => self.request(now, client, statement, out),
+            Input::Request(client, statement) => {
+                if let Some((id, keys)) = self.request(now, client, statement, out) {
+                    self.run(now, out);
+                    self.admitted(id, &keys);
+                }
+            }
             Input::ClientGone(client) => {
                 self.accepted.remove(&client);
                 if let Some(id) = self.requests.release(client) {
@@ -214,7 +230,9 @@
             Input::List(list) => {
                 let (form, entries) = self.members.take(now, list);
                 self.events.push_back(Event::List(form, entries));
+                self.list_limits(now);
             }
+            Input::Fleet(input) => self.fleet_says(now, input, out),
             Input::Proxy(stream, spoken) => self.proxy(now, stream, spoken, out),
             Input::Tick => self.due(now, out),
             Input::Shutdown => {
@@ -232,7 +250,8 @@
     /// When the next timer is due.
     pub fn next_due(&self) -> Option<Time> {
         let lease = self.desk.as_ref().and_then(Desk::next_due);
-        self.timers.next().into_iter().chain(lease).min()
+        let fleet = self.limits.as_ref().map(|l| l.fleet.next_due());
+        self.timers.next().into_iter().chain(lease).chain(fleet).min()
     }
 
     /// Whether a query may still be written to a member. The decisions keep a drain's grace when they send,
@@ -270,6 +289,7 @@
     /// Hands events to the decisions until none are left, and carries their actions over.
     fn run(&mut self, now: Time, out: &mut Vec<Effect>) {
         while let Some(event) = self.events.pop_front() {
+            let event = self.as_of_now(now, event);
             let mut actions = std::mem::take(&mut self.actions);
             self.policy.handle(now, event, &mut actions);
             for action in actions.drain(..) {
@@ -336,7 +356,14 @@
         }
     }
 
-    fn request(&mut self, now: Time, client: ClientId, statement: Box<Statement>, out: &mut Vec<Effect>) {
+    /// A client's request; its number, and the limits that count it.
+    fn request(
+        &mut self,
+        now: Time,
+        client: ClientId,
+        statement: Box<Statement>,
+        out: &mut Vec<Effect>,
+    ) -> Option<(RequestId, Vec<Key>)> {
         let named = |names: &[String], word: &[u8]| names.iter().position(|n| n.as_bytes() == word);
         let group = GroupId(statement.cluster);
         let mut invalid = |what: &str| {
@@ -345,14 +372,17 @@
             Effect::Answer(client, Answer::Invalid(error))
         };
         let Some(class) = named(&self.site.classes, statement.class()) else {
-            return out.push(invalid("the class is unknown"));
+            out.push(invalid("the class is unknown"));
+            return None;
         };
         if !self.members.has_group(group) {
-            return out.push(invalid("the cluster is unknown"));
+            out.push(invalid("the cluster is unknown"));
+            return None;
         }
         // Two requests of one id could not be told apart at a host, and one would get the other's answer.
         if self.requests.has(statement.id()) {
-            return out.push(invalid("the id is that of an open request"));
+            out.push(invalid("the id is that of an open request"));
+            return None;
         }
         // A tenant that the settings don't name is one without a share.
         let tenant = named(&self.site.tenants, statement.tenant()).unwrap_or(self.site.tenants.len());
@@ -374,7 +404,9 @@
         let (answered, served, attempts) = (false, false, Vec::new());
         let open = Open { client, statement, give_up, group, bond, floor_ms, answered, served, attempts };
         self.requests.put(id, open);
-        self.events.push_back(Event::Request(request));
+        let (event, keys) = self.limited(now, request);
+        self.events.push_back(event);
+        Some((id, keys))
     }
 
     fn send(
@@ -414,8 +446,8 @@
             let token = self.sessions.early(now, owner, open.group, bond, now.plus(wait));
             out.extend(token.map(|t| Effect::Token(open.client, t)));
         }
-        let id = ExchangeId::Attempt(id, attempt);
-        out.push(Effect::Begin(Order { id, member, addr, query }));
+        out.push(Effect::Begin(Order { id: ExchangeId::Attempt(id, attempt), member, addr, query }));
+        self.begun(now, id, attempt, member, now.plus(wait));
     }
 
     fn ended(&mut self, now: Time, exchange: ExchangeId, ended: Ended, out: &mut Vec<Effect>) {
@@ -474,6 +506,8 @@
             self.desk_says(said, out);
             self.run(now, out);
         }
+        self.fleet_due(now, out);
+        self.run(now, out);
         for (key, timer) in self.timers.due(now) {
             match timer {
                 Timer::Policy(token) => {
@@ -543,6 +577,7 @@
         t: Telling,
     ) {
         self.tally.attempt(status);
+        self.place_back(now, id, attempt, x.member, status);
         if let Some(position) = t.as_of {
             self.sessions.told(now, x.sent, unix_ms(position));
         }
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -5,6 +5,7 @@
 mod client;
 mod disk;
 mod exchange;
+mod fleet;
 mod io;
 mod pool;
 mod signal;
@@ -14,11 +15,13 @@
 use crate::routing::{ClientId, Clock, Effect, Ended, ExchangeId, Input, Order, Router, Tally};
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
+use basalthill_config::own::FleetSettings;
 use basalthill_config::router::{stop_limit, RouterConfig, ANSWER_REST, IDLE_SHARE, STOP_SERVING};
 use basalthill_policy::api::Time;
 use basalthill_session::Counts;
 use budget::{Budget, Permit};
 use client::{Clients, Room};
+use fleet::Link;
 use futures_lite::{future, Stream, StreamExt};
 use pool::Pool;
 use serde::Deserialize;
@@ -84,6 +87,8 @@
     budget: Budget,
     scratch: RefCell<Vec<u8>>,
     following: Following,
+    /// The link to other routers, where there is one.
+    link: RefCell<Option<Link>>,
     alarm: Alarm,
     settled: Signal,
     closing: Cell<bool>,
@@ -110,6 +115,7 @@
             budget: Budget::new(config.limits.descriptors()),
             scratch: RefCell::new(vec![0; READ_AT_ONCE]),
             following: Following::new(config.discovery),
+            link: RefCell::default(),
             alarm: Alarm::default(),
             settled: Signal::default(),
             closing: Cell::new(false),
@@ -136,6 +142,11 @@
                         slot.token(token);
                     }
                 }
+                Effect::Datagram(to, bytes) => {
+                    if let Some(link) = self.link.borrow().as_ref() {
+                        link.send(to, &bytes);
+                    }
+                }
                 Effect::Proxy(..) => {} // the front towards proxies is still to come
                 Effect::Answer(client, answer) => {
                     if let Some(slot) = self.clients.slot(client) {
@@ -209,6 +220,7 @@
         hub.spawn(timers(Rc::clone(&hub))),
         hub.spawn(tidy(Rc::clone(&hub))),
     ];
+    join(&hub, &config)?;
     Following::at(&hub, config.discovery, from);
     let mut own = config.own.clone();
     async_io::block_on(executor.run(async {
@@ -223,16 +235,53 @@
     // Without an executor the hub spawns nothing more; dropping the last handle ends every task.
     hub.executor.borrow_mut().take();
     hub.following.end();
+    hub.link.borrow_mut().take();
     disk::keep(&hub, &own, &config.name);
     Ok(())
 }
 
+/// Joins the fleet, if our own settings name one.
+fn join(hub: &Rc<Hub>, config: &RouterConfig) -> std::io::Result<()> {
+    let Some(settings) = &config.own.fleet else { return Ok(()) };
+    let Some(listen) = fleet::address(&config.name, settings) else { return Ok(()) };
+    let link = Link::start(hub, listen, settings)
+        .map_err(|e| std::io::Error::new(e.kind(), format!("fleet: {listen}: {e}")))?;
+    hub.link.replace(Some(link));
+    let mut effects = Vec::new();
+    let now = hub.clock.now();
+    hub.router.borrow_mut().join(now, &config.name, settings, config.seed, &mut effects);
+    hub.carry_out(effects);
+    Ok(())
+}
+
+/// Takes over what has changed of the fleet; where the socket would change, the old one stays.
+fn rejoin(hub: &Rc<Hub>, name: &str, again: Option<&FleetSettings>) {
+    let mut effects = Vec::new();
+    match (hub.link.borrow().as_ref(), again) {
+        (None, None) => {}
+        (None, Some(_)) | (Some(_), None) => {
+            log::warn!("configuration: fleet has come or gone, which needs a restart; it stays as it was");
+        }
+        (Some(link), Some(settings)) => {
+            if fleet::address(name, settings) != Some(link.listen()) {
+                log::warn!(
+                    "configuration: fleet.listen has changed, which needs a restart; the old one stays"
+                );
+            }
+            link.keys(settings);
+            hub.router.borrow_mut().rejoin(hub.clock.now(), settings, &mut effects);
+        }
+    }
+    hub.carry_out(effects);
+}
+
 /// Takes over what can change in a running router, and says what can't.
 fn reload(hub: &Rc<Hub>, started: &RouterConfig, again: &RouterConfig) {
     for key in started.needs_restart(again) {
         log::warn!("configuration: {key} has changed, which needs a restart; the old value stays");
     }
     hub.clients.farewell.set(again.own.farewell);
+    rejoin(hub, &started.name, again.own.fleet.as_ref());
     let plan = again.own.sessions.as_ref().map(|s| s.plan.clone());
     let bytes = started.limits.book_bytes();
     hub.router.borrow_mut().sessions().change(hub.clock.now(), plan, bytes, started.seed);
@@ -275,6 +324,9 @@
     };
     future::or(done, late).await;
     tell_sessions(hub);
+    let mut effects = Vec::new();
+    hub.router.borrow_mut().leave(hub.clock.now(), &mut effects);
+    hub.carry_out(effects);
     log::info!("stopped");
 }
 
--- a/crates/session/src/token.rs
+++ b/crates/session/src/token.rs
@@ -48,12 +48,21 @@
         (secret.len() >= SHORTEST_SECRET).then_some(Key { id, secret })
     }
 
-    fn mac(&self, body: &[u8], name: &[u8]) -> Option<Hmac<Sha256>> {
+    fn mac(&self, parts: &[&[u8]]) -> Option<Hmac<Sha256>> {
         let mut mac = Hmac::<Sha256>::new_from_slice(&self.secret).ok()?;
-        mac.update(body);
-        mac.update(name);
+        parts.iter().for_each(|part| mac.update(part));
         Some(mac)
     }
+
+    /// HMAC-SHA-256 of the parts one after the other.
+    pub fn sign(&self, parts: &[&[u8]]) -> [u8; 32] {
+        self.mac(parts).map_or([0; 32], |mac| mac.finalize().into_bytes().into())
+    }
+
+    /// Whether this key made the first bytes of a [`Key::sign`] of the parts; compared in constant time.
+    pub fn made(&self, parts: &[&[u8]], mac: &[u8]) -> bool {
+        self.mac(parts).is_some_and(|made| made.verify_truncated_left(mac).is_ok())
+    }
 }
 
 /// The keys in force: one signs, all verify.
@@ -148,9 +157,8 @@
         put_varint(&mut out, u64::from(group.0));
         put_floor(&mut out, *at, issued);
     }
-    if let Some(mac) = keys.signing.mac(&out, owner.name) {
-        out.extend_from_slice(&mac.finalize().into_bytes()[..MAC]);
-    }
+    let mac = keys.signing.sign(&[&out, owner.name]);
+    out.extend_from_slice(&mac[..MAC]);
     URL_SAFE_NO_PAD.encode(out)
 }
 
@@ -169,8 +177,9 @@
     if body[2..6] != owner.tag() {
         return Err(Bad::OtherSession);
     }
-    let made = key.mac(body, owner.name).ok_or(Bad::Forged)?;
-    made.verify_truncated_left(mac).map_err(|_| Bad::Forged)?;
+    if !key.made(&[body, owner.name], mac) {
+        return Err(Bad::Forged);
+    }
     let issued = body[6..12].iter().fold(0u64, |n, b| n << 8 | u64::from(*b));
     let at = Time(issued * MS);
     if now.since(at) > keys.max_age {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod fleet;
 pub mod group;
 pub mod host;
+pub mod model;
 
 use std::sync::{Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
