--- a/crates/fleet/src/account.rs
+++ b/crates/fleet/src/account.rs
@@ -1,11 +1,11 @@
-//! One limit at one router: what it holds, has lent and has borrowed, what it is asked for, and how it deals out
-//! what others can spare where that falls to it.
+//! One limit at one router: what it holds, has lent and has borrowed, what it is asked for, and how it
+//! deals out what others can spare where that falls to it.
 //!
-//! Rights come from the shares of names (its own, and those that it is steward of), which lapse by their leases,
-//! and from a part of its own that it keeps whatever happens. All but that part can be lent. Each limit has a
-//! dealer, found by rendezvous hashing over the living: routers lend it what they don't need, and it lends to
-//! those that want more. Who the dealer is matters for how well rights are used, never for how many there are:
-//! two routers that take different ones for it are only served worse.
+//! Rights come from the shares of names (its own, and those that it is steward of), which lapse by their
+//! leases, and from a part of its own that it keeps whatever happens. All but that part can be lent. Each
+//! limit has a dealer, found by rendezvous hashing over the living: routers lend it what they don't need,
+//! and it lends to those that want more. Who the dealer is matters for how well rights are used, never
+//! for how many there are: two routers that take different ones for it are only served worse.
 
 use crate::ledger::Ledger;
 use crate::limit::{Bounds, Key, UNITS};
@@ -197,8 +197,8 @@
         (self.floor(now) as i64 + self.ledger.least(now, now.plus(Time(1)))).max(0) as u64
     }
 
-    /// A request comes in: how full the tokens stand, zero if there is none, and when it may come back if it is
-    /// refused.
+    /// A request comes in: how full the tokens stand, zero if there is none, and when it may come back if
+    /// it is refused.
     pub fn asked(&mut self, now: Time) -> (f64, Time) {
         self.demand.asked += 1;
         let (floor, beyond) = (self.floor(now), self.beyond(now));
@@ -263,7 +263,8 @@
         }
     }
 
-    /// Once a period: demand is taken stock of. Returns what is to be told the dealer, unless this router is it.
+    /// Once a period: demand is taken stock of. Returns what is to be told the dealer, unless this router
+    /// is it.
     pub fn round(&mut self, now: Time, me: Tag, dealer: Tag) -> Option<Report> {
         self.rounds += 1;
         let span = self.times.period.secs();
@@ -389,8 +390,8 @@
         shares.min(self.want().saturating_sub(self.floor(now)))
     }
 
-    /// What one who wants so much beyond its own gets, where this router deals out: all get what they want up to
-    /// one level, at which what there is to spare is given away.
+    /// What one who wants so much beyond its own gets, where this router deals out: all get what they
+    /// want up to one level, at which what there is to spare is given away.
     fn fair_part(&self, now: Time, want: u64) -> u64 {
         let until = now.plus(self.times.lender(self.times.grant));
         let out: u64 = self.lent.values().map(|l| l.units(now)).sum();
@@ -412,8 +413,8 @@
         want
     }
 
-    /// A router has started again, or is off the list. What it had been lent lapses in the ledger; its new life
-    /// counts its questions anew.
+    /// A router has started again, or is off the list. What it had been lent lapses in the ledger; its
+    /// new life counts its questions anew.
     pub fn forget(&mut self, peer: Tag) {
         self.lent.remove(&peer);
         self.wants.remove(&peer);
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -1,4 +1,5 @@
-//! One router's part in the fleet: datagrams and ticks come in, datagrams go out, and limits say what is open.
+//! One router's part in the fleet: datagrams and ticks come in, datagrams go out, and limits say what is
+//! open.
 
 use crate::account::Account;
 use crate::lease::{Claim, Life, Voter};
@@ -47,8 +48,8 @@
 /// How much of what limits a request is open.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Open {
-    /// How full the tokens stand, as a share, by the limit that has least: zero where there is none, one where
-    /// nothing limits it.
+    /// How full the tokens stand, as a share, by the limit that has least: zero where there is none, one
+    /// where nothing limits it.
     pub share: f64,
     /// If it is refused, there will be a token for it after so long.
     pub back: Time,
@@ -194,8 +195,8 @@
         self.accounts.retain(|key, a| key.member == 0 || listed.contains(key) || !a.is_idle(now));
     }
 
-    /// Takes other settings over. Rights under the old ones that are lent out lapse before shares under the new
-    /// ones count.
+    /// Takes other settings over. Rights under the old ones that are lent out lapse before shares under
+    /// the new ones count.
     pub fn reload(&mut self, now: Time, plan: Plan, seal: Seal, out: &mut Vec<Effect>) {
         self.seal = seal;
         if plan == self.plan {
@@ -480,8 +481,8 @@
         }
     }
 
-    /// Claims this router's own share, and those of routers that are gone where it fits best; gives up those of
-    /// routers that are back.
+    /// Claims this router's own share, and those of routers that are gone where it fits best; gives up
+    /// those of routers that are back.
     fn claim(&mut self, now: Time, out: &mut Vec<Effect>) {
         let unheard = now.since(self.started) > self.plan.times.lease;
         let gone = |swim: &Swim, slot| {
@@ -718,7 +719,8 @@
                 None => String::new(),
             };
             lines.push(format!(
-                "limit {name}{at} of {} held {} floor {} shares {} borrowed {} lent {} want {} in use {}{why}",
+                "limit {name}{at} of {} held {} floor {} shares {} borrowed {} lent {} want {} in use \
+                 {}{why}",
                 f.of, f.held, f.floor, f.shares, f.borrowed, f.lent, f.want, f.in_use
             ));
         }
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -1,10 +1,11 @@
-//! Whose the share of each name is. A name's own router holds it while most of the name's guardians say so; when
-//! that router is gone, another takes it over by the same vote, as its steward.
+//! Whose the share of each name is. A name's own router holds it while most of the name's guardians say
+//! so; when that router is gone, another takes it over by the same vote, as its steward.
 //!
-//! A guardian gives its vote for a span, and to nobody else before that is over by its own clock. A holder counts
-//! the span from when it asked. Two sets of most guardians have one in common, so no share is held twice
-//! (PaxosLease's argument; no disk: a guardian that starts gives no vote until its earlier life's have lapsed).
-//! A router is known by its name and its life: what an earlier life held has to lapse, too.
+//! A guardian gives its vote for a span, and to nobody else before that is over by its own clock. A
+//! holder counts the span from when it asked. Two sets of most guardians have one in common, so no share
+//! is held twice (PaxosLease's argument; no disk: a guardian that starts gives no vote until its earlier
+//! life's have lapsed). A router is known by its name and its life: what an earlier life held has to
+//! lapse, too.
 
 use crate::names::Tag;
 use crate::times::Times;
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -1,8 +1,9 @@
-//! How many units are there, now and at any later time, if nothing more is done: what comes lapses at a time of
-//! its own, what is lent out comes back at one.
+//! How many units are there, now and at any later time, if nothing more is done: what comes lapses at a
+//! time of its own, what is lent out comes back at one.
 //!
-//! Times are rounded to ticks, against the holder: what it has lapses a tick early, what it has lent comes back
-//! a tick late. So there are few of them, and a look at all of the future is a walk over some dozens.
+//! Times are rounded to ticks, against the holder: what it has lapses a tick early, what it has lent
+//! comes back a tick late. So there are few of them, and a look at all of the future is a walk over some
+//! dozens.
 
 use basalthill_policy::api::Time;
 use std::collections::BTreeMap;
@@ -49,8 +50,8 @@
         self.change(until.0.div_ceil(TICK), units as i64);
     }
 
-    /// The fewest units that are there at any time from `from` on and before `until`. What lapsed before `from`
-    /// must not have been forgotten by then.
+    /// The fewest units that are there at any time from `from` on and before `until`. What lapsed before
+    /// `from` must not have been forgotten by then.
     pub fn least(&self, from: Time, until: Time) -> i64 {
         // At a tick's time, what goes at it is gone.
         let (from, until) = (from.0 / TICK, until.0.div_ceil(TICK).max(from.0 / TICK + 1));
--- a/crates/fleet/src/loan.rs
+++ b/crates/fleet/src/loan.rs
@@ -1,16 +1,16 @@
 //! Rights passed on between two routers, over links that lose, delay, repeat and reorder.
 //!
-//! The borrower asks, by rising numbers, and says how much it keeps of what it has; it has cut down to that
-//! before the question goes out. The lender answers the newest question. The borrower counts its span from when
-//! it asked, the lender from when it answered, which is later; the lender's span is longer by what their clocks
-//! may differ. Both write down the same: from a question on, no more than what is kept; from an answer on, what
-//! was answered until its end, and what was kept beyond that until its own. The lender does so first, whether or
-//! not its answer arrives, and each of its ends comes later. So at any time the borrower uses no more than the
-//! lender has written off.
+//! The borrower asks, by rising numbers, and says how much it keeps of what it has; it has cut down to
+//! that before the question goes out. The lender answers the newest question. The borrower counts its
+//! span from when it asked, the lender from when it answered, which is later; the lender's span is longer
+//! by what their clocks may differ. Both write down the same: from a question on, no more than what is
+//! kept; from an answer on, what was answered until its end, and what was kept beyond that until its own.
+//! The lender does so first, whether or not its answer arrives, and each of its ends comes later. So at
+//! any time the borrower uses no more than the lender has written off.
 //!
-//! An answer to any but the newest question is passed over by the borrower, a question that is not newer than
-//! the last by the lender. A borrower that restarts has forgotten its loans; they lapse. One that was frozen
-//! finds them lapsed by its own clock.
+//! An answer to any but the newest question is passed over by the borrower, a question that is not newer
+//! than the last by the lender. A borrower that restarts has forgotten its loans; they lapse. One that
+//! was frozen finds them lapsed by its own clock.
 
 use crate::ledger::Ledger;
 use basalthill_policy::api::Time;
--- a/crates/fleet/src/meter.rs
+++ b/crates/fleet/src/meter.rs
@@ -7,8 +7,8 @@
 use basalthill_policy::api::Time;
 use std::collections::BTreeMap;
 
-/// Tokens of a rate. They fill by the units held, and never stand above the units' part of the burst: so those
-/// of all routers together never stand above the burst, and fill no faster than the rate.
+/// Tokens of a rate. They fill by the units held, and never stand above the units' part of the burst: so
+/// those of all routers together never stand above the burst, and fill no faster than the rate.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Tokens {
     per_s: f64,
--- a/crates/fleet/src/names.rs
+++ b/crates/fleet/src/names.rs
@@ -1,5 +1,5 @@
-//! The routers of an installation, by the names that the settings give them. Nobody is in the fleet who is not
-//! on the list; who of them is alive is for [`crate::swim`] to say.
+//! The routers of an installation, by the names that the settings give them. Nobody is in the fleet who
+//! is not on the list; who of them is alive is for [`crate::swim`] to say.
 
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -95,8 +95,8 @@
         self.peers.get(&tag).map_or_else(|| format!("({:016x})", tag.0), |p| p.name.clone())
     }
 
-    /// Those who watch over a name's share: itself, and those of the others that fit it best; an odd number, so
-    /// that of two halves one always has more of them.
+    /// Those who watch over a name's share: itself, and those of the others that fit it best; an odd
+    /// number, so that of two halves one always has more of them.
     pub fn guardians(&self, slot: Tag) -> Vec<Tag> {
         let others = self.peers.len().saturating_sub(1);
         let mut fits: Vec<(u64, Tag)> =
@@ -113,8 +113,8 @@
         fits.into_iter().map(|f| f.1).collect()
     }
 
-    /// A name's part of a number of units: all parts are equal but for the rest of the division, and add up to
-    /// the whole. Who gets one of the rest differs from limit to limit.
+    /// A name's part of a number of units: all parts are equal but for the rest of the division, and add
+    /// up to the whole. Who gets one of the rest differs from limit to limit.
     pub fn part(&self, units: u64, slot: Tag, what: u64) -> u64 {
         let count = self.peers.len() as u64;
         if count == 0 || !self.peers.contains_key(&slot) {
--- a/crates/fleet/src/packet.rs
+++ b/crates/fleet/src/packet.rs
@@ -1,7 +1,9 @@
-//! What routers say to each other, as postcard writes it. One packet is one datagram, [`LONGEST`] bytes at most.
+//! What routers say to each other, as postcard writes it. One packet is one datagram, [`LONGEST`] bytes
+//! at most.
 //!
-//! A packet says from which life of which router it comes and for which it is: one that was meant for an earlier
-//! life, or comes from one, carries no rights. Only a ping may come from one who does not know the other's life.
+//! A packet says from which life of which router it comes and for which it is: one that was meant for an
+//! earlier life, or comes from one, carries no rights. Only a ping may come from one who does not know
+//! the other's life.
 
 use crate::limit::Key;
 use crate::names::Tag;
@@ -69,8 +71,8 @@
     Report(Report),
     /// From that one.
     Reply(Reply),
-    /// Of what the sender has borrowed under a limit, it keeps no more than so many units: the question's number,
-    /// and the units. No answer is wanted.
+    /// Of what the sender has borrowed under a limit, it keeps no more than so many units: the question's
+    /// number, and the units. No answer is wanted.
     Back(Key, u32, u64),
 }
 
@@ -126,8 +128,8 @@
 /// What an operator asks, and what is answered: pages of lines.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Operator {
-    /// A page of the status, with a number that the answer repeats, and padding: an answer is never much longer
-    /// than its question.
+    /// A page of the status, with a number that the answer repeats, and padding: an answer is never much
+    /// longer than its question.
     Ask(u64, u16, Vec<u8>),
     /// The number, the page, how many pages there are, and the page's lines.
     Told(u64, u16, u16, String),
--- a/crates/fleet/src/swim.rs
+++ b/crates/fleet/src/swim.rs
@@ -1,17 +1,18 @@
-//! Who is alive, after SWIM (Das, Gupta, Motivala 2002), with what Lifeguard (Dadgar, Phillips, Currey 2018)
-//! adds for slow processes:
+//! Who is alive, after SWIM (Das, Gupta, Motivala 2002), with what Lifeguard (Dadgar, Phillips, Currey
+//! 2018) adds for slow processes:
 //!
-//! - Once a period one router of the list is asked, in a shuffled order. If it does not answer, three others are
-//!   asked to ask it. If nothing comes by the period's end, it is suspected.
-//! - News rides on everything that is sent, each some times the logarithm of the fleet's size: the cost for a
-//!   router does not grow with the fleet.
-//! - Who hears that it is suspected contradicts by a higher turn. A suspicion becomes a verdict after a time
-//!   that shrinks with each further router that has the same from its own experience.
-//! - A router that misses answers, or has to contradict, takes itself for slow and gives others more time. One
-//!   that stood still blames nobody for it.
+//! - Once a period one router of the list is asked, in a shuffled order. If it does not answer, three
+//!   others are asked to ask it. If nothing comes by the period's end, it is suspected.
+//! - News rides on everything that is sent, each some times the logarithm of the fleet's size: the cost
+//!   for a router does not grow with the fleet.
+//! - Who hears that it is suspected contradicts by a higher turn. A suspicion becomes a verdict after a
+//!   time that shrinks with each further router that has the same from its own experience.
+//! - A router that misses answers, or has to contradict, takes itself for slow and gives others more
+//!   time. One that stood still blames nobody for it.
 //! - A suspect hears of it with the next thing that is sent to it.
 //!
-//! The list of names is given: nobody has to join, and the dead are asked now and then, so that a split heals.
+//! The list of names is given: nobody has to join, and the dead are asked now and then, so that a split
+//! heals.
 
 use crate::names::{Names, Tag};
 use crate::packet::{Message, News, Word};
@@ -30,8 +31,8 @@
 const SUSPECT_LEAST: f64 = 3.0;
 /// The longest is this many times as long.
 const SUSPECT_MOST: f64 = 3.0;
-/// News goes out this many times the logarithm of the fleet's size, and some times more: of what is sent, much
-/// goes to the same few.
+/// News goes out this many times the logarithm of the fleet's size, and some times more: of what is sent,
+/// much goes to the same few.
 const SPREAD: f64 = 4.0;
 const SPREAD_LEAST: u32 = 4;
 /// Pieces of news that go with one packet.
--- a/crates/fleet/src/times.rs
+++ b/crates/fleet/src/times.rs
@@ -23,8 +23,9 @@
 const SPARE: Time = Time::ms(900);
 
 impl Times {
-    /// Times for rights that are in use for `longest` at a time: zero where rights are spent at once. Each kind
-    /// of loan outlasts the one made from it by some rounds, so that one lost datagram costs nothing.
+    /// Times for rights that are in use for `longest` at a time: zero where rights are spent at once.
+    /// Each kind of loan outlasts the one made from it by some rounds, so that one lost datagram costs
+    /// nothing.
     pub fn new(drift: f64, longest: Time) -> Times {
         let grant = longest.plus(SPARE);
         let deposit = grant.plus(PERIOD.times(8.0));
--- a/crates/fleet/tests/limits.rs
+++ b/crates/fleet/tests/limits.rs
@@ -387,7 +387,10 @@
                 Fault::Thaw(n) => model.thaw(n % routers),
                 Fault::Loss(loss) => model.links.loss = loss,
                 Fault::Delay(most) => model.links.delay_us = (50, 50 + most),
-                Fault::Demand(n, per_s) => model.demand(n % routers, f64::from(per_s), f64::from(per_s) / 8.0),
+                Fault::Demand(n, per_s) => {
+                    let per_s = f64::from(per_s);
+                    model.demand(n % routers, per_s, per_s / 8.0);
+                }
             }
         }
         model.run(model.now.plus(s(3.0)));
--- a/crates/fleet/tests/model.rs
+++ b/crates/fleet/tests/model.rs
@@ -1,5 +1,6 @@
-//! Every order of events, for small fleets: rights that are passed on, and votes on a share, under clocks that
-//! run at other rates, datagrams that are lost, late or come twice, and crashes. The cores are the real ones.
+//! Every order of events, for small fleets: rights that are passed on, and votes on a share, under clocks
+//! that run at other rates, datagrams that are lost, late or come twice, and crashes. The cores are the
+//! real ones.
 
 use basalthill_fleet::lease::{Claim, Life, Voter};
 use basalthill_fleet::ledger::Ledger;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,6 +4,7 @@
 mod book;
 mod clients;
 mod cost;
+mod fleet_limits;
 mod overhead;
 mod overload;
 mod reconnect;
@@ -57,6 +58,8 @@
     Overload(overload::Options),
     /// What the library costs a request, against a bare loop over sockets.
     Overhead(overhead::Options),
+    /// A limit over all routers while links and routers fail: used, and never over.
+    FleetLimits(fleet_limits::Options),
     /// What a snapshot buys at a restart while replicas are behind.
     Restart(restart::Options),
 }
@@ -85,6 +88,7 @@
         Experiment::Reconnect(options) => reconnect::run(&options, &common),
         Experiment::Overload(options) => overload::run(&options, &common),
         Experiment::Overhead(options) => overhead::run(&options, &common),
+        Experiment::FleetLimits(options) => fleet_limits::run(&options, &common),
         Experiment::Restart(options) => restart::run(&options, &common),
     };
     match done {
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -353,8 +353,8 @@
     List(ListForm, Vec<Entry>),
     /// A request.
     Request(Request),
-    /// A request that limits count which hold over all routers: how much of them is open, as a share, and when
-    /// it may come back if it is turned away for them.
+    /// A request that limits count which hold over all routers: how much of them is open, as a share, and
+    /// when it may come back if it is turned away for them.
     Scarce(Request, f64, Time),
     /// So many more attempts may be out at a member, as a limit over all routers has it.
     Room(MemberId, u32),
--- a/crates/router/src/routing/limits.rs
+++ b/crates/router/src/routing/limits.rs
@@ -1,5 +1,5 @@
-//! Limits that hold over all routers, where the settings name a fleet: what is open goes to the decisions with
-//! each request, and what was admitted is told the fleet's core. It decides nothing.
+//! Limits that hold over all routers, where the settings name a fleet: what is open goes to the decisions
+//! with each request, and what was admitted is told the fleet's core. It decides nothing.
 
 use super::{Effect, Router};
 use basalthill_config::own::FleetSettings;
@@ -187,7 +187,8 @@
         (Event::Scarce(request, open.share, open.back), keys)
     }
 
-    /// The decisions have had a request: what it counts under has been spent, or another's turn is further off.
+    /// The decisions have had a request: what it counts under has been spent, or another's turn is
+    /// further off.
     pub(super) fn admitted(&mut self, id: RequestId, keys: &[Key]) {
         let taken = self.requests.get(id).is_some_and(|open| !open.answered || open.served);
         if let Some(limits) = self.limits.as_mut().filter(|_| !keys.is_empty()) {
--- a/crates/router/src/routing/requests.rs
+++ b/crates/router/src/routing/requests.rs
@@ -1,5 +1,5 @@
-//! The requests that have an answer or attempts outstanding, and the attempts and probes that are out. Each is
-//! put on the books once and taken off them once.
+//! The requests that have an answer or attempts outstanding, and the attempts and probes that are out.
+//! Each is put on the books once and taken off them once.
 
 use super::timers::TimerKey;
 use super::ClientId;
--- a/crates/router/tests/fleet.rs
+++ b/crates/router/tests/fleet.rs
@@ -9,8 +9,8 @@
 const PROGRAM: &str = env!("CARGO_BIN_EXE_basalthill");
 const PER_S: f64 = 300.0;
 const BURST: f64 = 300.0;
-/// What may lie between an admission and a statement's arrival at a host differs by no more than this, also on
-/// a machine that is busy with other tests.
+/// What may lie between an admission and a statement's arrival at a host differs by no more than this,
+/// also on a machine that is busy with other tests.
 const SPREAD_S: f64 = 0.25;
 
 fn rig(routers: usize, limits: &str, work_ms: u64) -> Rig {
@@ -19,6 +19,8 @@
         hosts: 3,
         work: Duration::from_millis(work_ms),
         limits: Some(limits.into()),
+        alone: false,
+        direct: false,
         seed: 7,
     };
     Rig::start(Path::new(PROGRAM), Path::new(env!("CARGO_TARGET_TMPDIR")), &setup).expect("a fleet")
--- a/crates/standin/src/model.rs
+++ b/crates/standin/src/model.rs
@@ -1,5 +1,6 @@
-//! Fleets of cores in simulated time: links that lose, delay, repeat and break, clocks of other rates, routers
-//! that die, freeze and come back. The same seed plays the same run. What is admitted is judged by true time.
+//! Fleets of cores in simulated time: links that lose, delay, repeat and break, clocks of other rates,
+//! routers that die, freeze and come back. The same seed plays the same run. What is admitted is judged
+//! by true time.
 
 use crate::fleet::Dice;
 use basalthill_fleet::fleet::{Effect, Fleet, Plan};
@@ -417,7 +418,8 @@
             }
         });
         if taken {
-            // It ends by itself, or its router has given it up by then; by a slow clock that is a little later.
+            // It ends by itself, or its router has given it up by then; by a slow clock that is a little
+            // later.
             let most = (longest.0 as f64 / (1.0 + self.plan.times.drift)) as u64;
             let ends = self.now.plus(Time(most / 20 + self.dice.below(most - most / 20)));
             self.places.insert(number);
@@ -440,8 +442,8 @@
     }
 }
 
-/// By how much what was admitted is over a rate with a burst, at worst over all windows of time; below zero if
-/// never.
+/// By how much what was admitted is over a rate with a burst, at worst over all windows of time; below
+/// zero if never.
 pub fn over(mut admitted: Vec<Time>, per_s: f64, burst: f64) -> f64 {
     admitted.sort_unstable();
     let (mut level, mut at, mut worst) = (burst, Time(0), -burst);
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -1,4 +1,5 @@
-//! The network between routers, over UDP on loopback: a port for each directed pair, and faults on each of them.
+//! The network between routers, over UDP on loopback: a port for each directed pair, and faults on each
+//! of them.
 
 use crate::fleet::Dice;
 use async_executor::LocalExecutor;
--- a/crates/standin/src/rig.rs
+++ b/crates/standin/src/rig.rs
@@ -8,7 +8,7 @@
 use crate::relay::Relay;
 use crate::unix_ms;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -26,6 +26,10 @@
     pub work: Duration,
     /// Nodes of KDL inside `fleet`, besides names and keys; without any the routers have no fleet.
     pub limits: Option<String>,
+    /// Each router knows of itself alone.
+    pub alone: bool,
+    /// Routers reach each other without the relay.
+    pub direct: bool,
     /// For random numbers.
     pub seed: u64,
 }
@@ -45,8 +49,8 @@
     pub hosts: Vec<Counted>,
     /// The routers.
     pub routers: Vec<Router>,
-    /// The network between them.
-    pub relay: Relay,
+    /// The network between them, unless they reach each other without it.
+    pub relay: Option<Relay>,
     /// The settings file of each, for `basalthill fleet` as well.
     pub settings: Vec<Option<PathBuf>>,
     /// What was done, and when after the start.
@@ -59,11 +63,19 @@
 /// The key that all rigs sign with.
 const KEY: &str = "51e0a8c97b3d2f6604de8f13c5a97b20";
 
-/// The `fleet` node of one router's settings.
-fn fleet(relay: &Relay, n: usize, routers: usize, limits: &str) -> String {
-    let peer = |m: usize| format!("router \"n{m}\" \"{}\"\n", relay.port(n, m));
-    let peers: String = (0..routers).map(peer).collect();
-    format!("fleet {{\nlisten \"127.0.0.1:0\"\nkey 1 \"{KEY}\" signs=#true\n{peers}{limits}\n}}\n")
+/// The `fleet` node of one router's settings, which reaches the others at these addresses.
+fn fleet(setup: &Setup, n: usize, at: &[SocketAddr], limits: &str) -> String {
+    let listen = if setup.direct { at[n].to_string() } else { "127.0.0.1:0".into() };
+    let known = (0..setup.routers).filter(|m| *m == n || !setup.alone);
+    let peers: String = known.map(|m| format!("router \"n{m}\" \"{}\"\n", at[m])).collect();
+    format!("fleet {{\nlisten \"{listen}\"\nkey 1 \"{KEY}\" signs=#true\n{peers}{limits}\n}}\n")
+}
+
+/// Addresses on loopback that were free a moment ago.
+fn free(count: usize) -> io::Result<Vec<SocketAddr>> {
+    let sockets = (0..count).map(|_| UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)));
+    let sockets = sockets.collect::<io::Result<Vec<_>>>()?;
+    sockets.iter().map(UdpSocket::local_addr).collect()
 }
 
 impl Rig {
@@ -84,7 +96,8 @@
         let limits = r#"{"sockets":4096,"memory_mb":192}"#;
         let text = format!(r#"{{"seed":"1","limits":{limits},"known":{known},"settings":{settings}}}"#);
         let config = file(folder, "rig.json", &text)?;
-        let relay = Relay::start(setup.routers, setup.seed)?;
+        let relay = (!setup.direct).then(|| Relay::start(setup.routers, setup.seed)).transpose()?;
+        let direct = free(if setup.direct { setup.routers } else { 0 })?;
         let mut rig = Rig {
             hosts,
             routers: Vec::new(),
@@ -96,7 +109,9 @@
             _discovery: discovery,
         };
         for n in 0..setup.routers {
-            let own = setup.limits.as_ref().map(|l| fleet(&rig.relay, n, setup.routers, l));
+            let ports = |relay: &Relay| (0..setup.routers).map(|m| relay.port(n, m)).collect();
+            let at: Vec<SocketAddr> = rig.relay.as_ref().map_or(direct.clone(), ports);
+            let own = setup.limits.as_ref().map(|l| fleet(setup, n, &at, l));
             let own = own.map(|text| file(folder, "rig.kdl", &text)).transpose()?;
             let (config, program, discovery) = (config.clone(), program.into(), rig._discovery.addr);
             let start = Start { program, config, settings: own.clone(), discovery };
@@ -109,10 +124,9 @@
 
     /// Takes note of where a router that has just started listens for the others.
     fn target(&mut self, n: usize) {
-        if self.settings[n].is_some() {
-            let addr = self.fleet_addr(n);
-            self.relay.links().targets[n] = addr;
-        }
+        let Some(relay) = self.relay.clone().filter(|_| self.settings[n].is_some()) else { return };
+        let addr = self.fleet_addr(n);
+        relay.links().targets[n] = addr;
     }
 
     /// Where a router listens for the others.
@@ -135,16 +149,25 @@
 
     /// Splits the fleet.
     pub fn split(&mut self, groups: &[Vec<usize>]) {
-        self.relay.split(groups);
+        self.relay.iter().for_each(|r| r.split(groups));
         self.note(format!("split {groups:?}"));
     }
 
     /// Makes all links whole.
     pub fn heal(&mut self) {
-        self.relay.heal();
+        self.relay.iter().for_each(Relay::heal);
         self.note("healed".into());
     }
 
+    /// Makes all links lose so many datagrams in a thousand, and take their time.
+    pub fn lossy(&mut self, loss: u64, delay_us: (u64, u64)) {
+        if let Some(relay) = &self.relay {
+            let mut links = relay.links();
+            (links.loss, links.delay_us) = (loss, delay_us);
+        }
+        self.note(format!("loss {loss}, delay {delay_us:?}"));
+    }
+
     /// Kills a router outright.
     pub fn kill(&mut self, n: usize) -> io::Result<()> {
         self.note(format!("kill n{n}"));
