--- a/crates/fleet/src/account.rs
+++ b/crates/fleet/src/account.rs
@@ -155,6 +155,11 @@
         self.ledger.add(units, until);
     }
 
+    /// Units of a share that is held, or was.
+    pub fn units_of(&self, slot: Tag) -> Option<u64> {
+        self.shares.get(&slot).map(|s| s.0)
+    }
+
     /// A share is to be given up, or kept after all.
     pub fn end(&mut self, slot: Tag, ends: bool) {
         match ends {
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -103,6 +103,10 @@
     say: BTreeMap<Tag, Vec<Message>>,
     next_round: Time,
     rounds: u64,
+    /// Rises whenever who is alive changes: until then dealers and the lost stay who they are.
+    epoch: u64,
+    dealers: BTreeMap<Key, (u64, Tag)>,
+    scanned: Option<(u64, bool)>,
     counts: Counts,
 }
 
@@ -126,6 +130,9 @@
             // Rounds of different routers fall at different times.
             next_round: now.plus(plan.times.period.times((mix(seed ^ me.0) % 1000) as f64 / 1000.0)),
             rounds: 0,
+            epoch: 0,
+            dealers: BTreeMap::new(),
+            scanned: None,
             counts: Counts::default(),
             plan,
         };
@@ -204,6 +211,7 @@
         }
         let lapsed = now.plus(self.plan.times.lender(self.plan.times.deposit).max(self.plan.settle));
         let old = std::mem::replace(&mut self.plan, plan);
+        self.epoch += 1;
         self.digest = self.plan.digest();
         if old.names != self.plan.names {
             self.swim.list(now, &self.plan.names);
@@ -249,7 +257,9 @@
                     continue;
                 };
                 account.settle(now);
-                account.share(*slot, parts(&self.plan.names, limit, *key, *slot).1, until);
+                let units = account.units_of(*slot);
+                let units = units.unwrap_or_else(|| parts(&self.plan.names, limit, *key, *slot).1);
+                account.share(*slot, units, until);
             }
         }
     }
@@ -417,6 +427,7 @@
             match one {
                 swim::Out::Say(to, message) => self.say.entry(to).or_default().push(message),
                 swim::Out::Changed { of, word, restarted, by } => {
+                    self.epoch += 1;
                     if restarted {
                         for account in self.accounts.values_mut() {
                             account.settle(now);
@@ -463,13 +474,17 @@
         self.voter.lapse(now);
         self.claim(now, out);
         self.hold_shares(now);
-        let living: Vec<Tag> = self.swim.living().collect();
-        let me = self.me;
+        let (me, epoch) = (self.me, self.epoch);
+        self.dealers.retain(|key, _| self.accounts.contains_key(key));
         for (key, account) in &mut self.accounts {
             account.settle(now);
-            let number = key.number();
-            let best = living.iter().copied().max_by_key(|t| (crate::names::fit(*t, number), *t));
-            let dealer = best.unwrap_or(me);
+            let known = self.dealers.get(key).filter(|d| d.0 == epoch);
+            let dealer = known.map(|d| d.1).unwrap_or_else(|| {
+                let number = key.number();
+                let best = self.swim.living().max_by_key(|t| (crate::names::fit(*t, number), *t));
+                best.unwrap_or(me)
+            });
+            self.dealers.insert(*key, (epoch, dealer));
             if let Some(report) = account.round(now, me, dealer) {
                 self.say.entry(dealer).or_default().push(Message::Report(report));
             }
@@ -488,13 +503,16 @@
         let gone = |swim: &Swim, slot| {
             swim.gone(slot) || (unheard && swim.peer(slot).is_some_and(|k| k.word.is_none()))
         };
-        let living: Vec<Tag> = self.swim.living().collect();
-        let lost: Vec<Tag> =
-            self.plan.names.tags().filter(|t| *t != self.me && gone(&self.swim, *t)).collect();
-        for slot in lost {
-            let best = living.iter().copied().max_by_key(|t| (crate::names::fit(*t, slot.0), *t));
-            if best == Some(self.me) && !self.claims.contains_key(&slot) {
-                self.claims.insert(slot, Claim::new(self.plan.names.guardians(slot)));
+        if self.scanned != Some((self.epoch, unheard)) {
+            self.scanned = Some((self.epoch, unheard));
+            let living: Vec<Tag> = self.swim.living().collect();
+            let lost: Vec<Tag> =
+                self.plan.names.tags().filter(|t| *t != self.me && gone(&self.swim, *t)).collect();
+            for slot in lost {
+                let best = living.iter().copied().max_by_key(|t| (crate::names::fit(*t, slot.0), *t));
+                if best == Some(self.me) && !self.claims.contains_key(&slot) {
+                    self.claims.insert(slot, Claim::new(self.plan.names.guardians(slot)));
+                }
             }
         }
         let back: Vec<Tag> = self.claims.keys().copied().filter(|s| !self.claimed(*s, &gone)).collect();
