--- a/crates/config/src/own.rs
+++ b/crates/config/src/own.rs
@@ -324,6 +324,8 @@
             }
             all.push(limit);
         }
+        // Their order says nothing.
+        all.sort_by(|a, b| a.name.cmp(&b.name));
         let keys = self.keys(node, "fleet", Time(0))?;
         Ok(FleetSettings { listen, keys, drift: drift / 100.0, names, limits: all })
     }
--- a/crates/config/tests/own.rs
+++ b/crates/config/tests/own.rs
@@ -1,6 +1,7 @@
 //! Our own settings: what they say, and how a fault is named.
 
 use basalthill_config::own::{load, parse, Own};
+use basalthill_fleet::{Bounds, Subject, Tag};
 use basalthill_policy::api::Time;
 use basalthill_session::sessions::{Handing, StandIn};
 use basalthill_session::token::KeyId;
@@ -113,3 +114,69 @@
         drop(parse(&format!("{}\u{fffd}{}", &whole[..cut], &whole[cut..])));
     }
 }
+
+fn fleet_file() -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/basalthill.kdl");
+    std::fs::read_to_string(path).unwrap().replace("/-fleet", "fleet")
+}
+
+#[test]
+fn a_fleet_is_read_and_is_off_in_the_file_that_comes_with_the_program() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/basalthill.kdl");
+    assert_eq!(load(&path).unwrap().fleet, None);
+    let fleet = parse(&fleet_file()).unwrap().fleet.unwrap();
+    assert_eq!((fleet.names.len(), fleet.drift, fleet.limits.len()), (3, 0.01, 4));
+    assert_eq!((fleet.keys.signing.id, fleet.keys.verifying.len()), (KeyId(2), 1));
+    assert_eq!(fleet.listen, "0.0.0.0:7946".parse().ok());
+    let peer = fleet.names.get(Tag::of("n2")).unwrap();
+    assert_eq!((peer.addr.to_string().as_str(), peer.zone.as_deref()), ("10.0.0.12:7946", Some("b")));
+    let limit = |name: &str| fleet.limits.iter().find(|l| l.name == name).unwrap();
+    let acme = limit("acme");
+    assert_eq!((&acme.subject, acme.alone), (&Subject::Tenant("acme".into()), 0.1));
+    assert_eq!(acme.bounds, Bounds::Rate { per_s: 400.0, burst: 400.0 });
+    // Not given: as many at once as a second's, and one for each router at least.
+    assert_eq!(limit("reports").bounds, Bounds::Rate { per_s: 50.0, burst: 50.0 });
+    assert_eq!(limit("hosts").bounds, Bounds::AtOnce(60));
+    let few = parse(&fleet_file().replace("per-s=50", "per-s=0.5")).unwrap().fleet.unwrap();
+    let reports = few.limits.iter().find(|l| l.name == "reports").unwrap();
+    assert_eq!(reports.bounds, Bounds::Rate { per_s: 0.5, burst: 3.0 });
+}
+
+#[test]
+fn limits_in_another_order_are_the_same_limits() {
+    let turned = |lines: [&str; 2]| {
+        let router = "router \"a\" \"127.0.0.1:1\"";
+        parse(&format!("fleet {{\n{KEY}\n{router}\n{}\n{}\n}}", lines[0], lines[1])).unwrap().fleet.unwrap()
+    };
+    let (one, other) = ("limit \"x\" group=1 per-s=5", "limit \"y\" group=2 per-s=6");
+    assert_eq!(turned([one, other]), turned([other, one]));
+}
+
+#[test]
+fn a_fault_in_a_fleet_names_its_place() {
+    let change = |from: &str, to: &str| fault(&fleet_file().replace(from, to));
+    let cases = [
+        (
+            change("drift-percent 1", "drift-percent 11"),
+            "fleet.drift-percent: must be a number from 0.01 to 10",
+        ),
+        (change("\"10.0.0.12:7946\"", "\"10.0.0.12\""), "fleet.router: \"10.0.0.12\" is not an address"),
+        (change("\"n2\"", "\"n1\""), "fleet.router: \"n1\" is given twice"),
+        (change("burst=400", "burst=2"), "fleet.limit.burst: must be 3 at least"),
+        (change("per-s=50", "at-once=50"), "fleet.limit: each-member and at-once go together"),
+        (change("at-once=60", "per-s=60"), "fleet.limit: each-member and at-once go together"),
+        (change("at-once=60", ""), "fleet.limit: takes per-s, with burst or not, or at-once"),
+        (change("class=\"report\"", "class=\"report\" group=3"), "fleet.limit: takes one of tenant, class"),
+        (change("class=\"report\"", ""), "fleet.limit: takes one of tenant, class"),
+        (change("\"reports\"", "\"acme\""), "fleet.limit: \"acme\" is given twice"),
+        (change("alone-percent=10", "alone-percent=101"), "fleet.limit.alone-percent: must be a number"),
+        (change("signs=#true\n    key 1 \"0a", "\n    key 1 \"0a"), "fleet: no key signs"),
+        (change("each-member=#true", "each-member=#false"), "fleet.limit.each-member: is #true or not there"),
+        (change("listen \"0.0.0.0:7946\"", "lisn 1"), "fleet.lisn: is unknown"),
+    ];
+    for (said, part) in cases {
+        assert!(said.contains(part), "{said}\n{part}");
+        let mut place = said.split(':');
+        assert!(place.next().is_some_and(|line| line.parse::<usize>().is_ok_and(|n| n > 30)), "{said}");
+    }
+}
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -598,3 +598,72 @@
     }
     to_cold.len()
 }
+
+fn scarce(b: &mut Bench, class: ClassId, open: f64) -> RequestId {
+    b.next += 1;
+    let request = Request {
+        id: RequestId(b.next),
+        class,
+        tenant: TenantId(0),
+        give_up: b.now.plus(Time::ms(1500)),
+        group: GroupId(0),
+        floor: Time(0),
+        lead: Time(0),
+        repeat: false,
+    };
+    let id = request.id;
+    b.event(Event::Scarce(request, open, Time::ms(120)));
+    id
+}
+
+#[test]
+fn what_is_left_under_a_limit_goes_to_what_is_worth_most_for_its_work() {
+    let mut set = settings();
+    set.classes[usize::from(BOUNDED.0)].worth = 8.0;
+    let mut b = Bench::new(set);
+    // Nothing is open: all are turned away at once, with their time to come back.
+    for class in [ANY, BOUNDED, SESSION, FRESH, UNSAFE] {
+        let id = scarce(&mut b, class, 0.0);
+        assert!(b.log.contains(&(b.now, Action::Refuse(id, Some(Time::ms(120))))), "{:?}", b.log.last());
+        assert!(!b.tries.contains_key(&id));
+    }
+    // A little: what is worth an eighth for the same work waits for more.
+    let (low, high) = (scarce(&mut b, ANY, 0.2), scarce(&mut b, BOUNDED, 0.2));
+    assert!(b.refused(low) && !b.tries.contains_key(&low) && b.tries.contains_key(&high));
+    // Half and more: all go.
+    let low = scarce(&mut b, ANY, 0.5);
+    assert!(b.tries.contains_key(&low));
+    // No client is sent further off than the settings allow.
+    let mut short = settings();
+    short.max_retry_after = Time::ms(50);
+    let mut b = Bench::new(short);
+    let id = scarce(&mut b, ANY, 0.0);
+    assert!(b.log.contains(&(b.now, Action::Refuse(id, Some(Time::ms(50))))));
+}
+
+#[test]
+fn no_more_are_out_at_a_member_than_there_is_room_for() {
+    let mut b = Bench::new(settings());
+    for m in 1..=3 {
+        b.event(Event::Room(MemberId(m), 2));
+    }
+    let ids: Vec<RequestId> = (0..12).map(|_| b.ask(ANY, 0)).collect();
+    let at = |b: &Bench, m: u32| b.tries.values().flatten().filter(|t| t.0 == m).count();
+    assert!((1..=3).all(|m| at(&b, m) <= 2), "{:?}", b.tries);
+    assert_eq!(at(&b, 2) + at(&b, 3), 4);
+    // One ends: its place counts once the room says so.
+    let first = *ids.iter().find(|id| b.out(**id)).expect("one that is out");
+    let member = b.tries[&first][0];
+    b.end(first, Status::Ok, 5, 0, if member.0 == 1 { Role::Primary } else { Role::Replica });
+    let before = at(&b, member.0);
+    b.run(50);
+    assert_eq!(at(&b, member.0), before);
+    b.event(Event::Room(member, 1));
+    b.run(20);
+    assert_eq!(at(&b, member.0), before + 1);
+    // Writes and searches for a primary pass the same guard.
+    b.event(Event::Room(MemberId(1), 0));
+    let write = b.ask(UNSAFE, 0);
+    b.run(100);
+    assert!(b.tries.get(&write).is_none_or(|t| t.iter().all(|m| m.0 != 1)));
+}
