Fleet: budgets for retries, probes, connects and list calls over all routers

Change: limits with budget=...; the module counts down what is left of retries and probes (Event::Left), transport asks before a connect or a list call. A request whose retry the budget withholds is refused or failed at once. The rig's hosts can fail or close.

--- a/crates/config/src/own.rs
+++ b/crates/config/src/own.rs
@@ -2,7 +2,7 @@
 //! can switch on is on. `deploy/basalthill.kdl` shows every key with its default.
 
 use crate::ConfigError;
-use basalthill_fleet::{Bounds, Limit, Names, Peer, Subject};
+use basalthill_fleet::{Bounds, Budget, Limit, Names, Peer, Subject};
 use basalthill_policy::api::Time;
 use basalthill_session::sessions::{Handing, Plan, StandIn};
 use basalthill_session::token::{Key, KeyId, Keys, SHORTEST_SECRET};
@@ -319,6 +319,14 @@
                     return Err(self.fault(child, "fleet.limit.burst", problem));
                 }
             }
+            let counts = |l: &Limit| match l.subject {
+                // Others of one kind may stand side by side: a request has to pass all that count it.
+                Subject::EachMember | Subject::Budget(_) => l.subject == limit.subject,
+                _ => false,
+            };
+            if all.iter().any(counts) {
+                return Err(self.fault(child, "fleet.limit", "what it counts has a limit already"));
+            }
             if all.iter().any(|l| l.name == limit.name) {
                 return Err(self.fault(child, "fleet.limit", format!("{:?} is given twice", limit.name)));
             }
@@ -342,14 +350,14 @@
     }
 
     fn limit(&self, node: &KdlNode) -> Result<Limit, ConfigError> {
-        const SUBJECTS: [&str; 4] = ["tenant", "class", "group", "each-member"];
+        const SUBJECTS: [&str; 5] = ["tenant", "class", "group", "each-member", "budget"];
         let of = "fleet.limit";
         let known = [&SUBJECTS[..], &["per-s", "burst", "at-once", "alone-percent"]].concat();
         self.shape(node, of, 1, &known)?;
         let name = self.word(node, of, 0)?.to_string();
         let given: Vec<&str> = SUBJECTS.into_iter().filter(|s| node.entry(*s).is_some()).collect();
         let [subject] = given[..] else {
-            return Err(self.fault(node, of, "takes one of tenant, class, group, each-member"));
+            return Err(self.fault(node, of, "takes one of tenant, class, group, each-member, budget"));
         };
         let key = format!("{of}.{subject}");
         let subject = match subject {
@@ -359,6 +367,13 @@
                 let group = self.number(node, &key, "group", 0..=i128::from(u32::MAX))?;
                 Subject::Group(group.unwrap_or_default() as u32)
             }
+            "budget" => {
+                let word = self.word(node, &key, "budget")?;
+                let known = Budget::ALL.into_iter().find(|(name, _)| *name == word);
+                let names = Budget::ALL.map(|(name, _)| name).join(", ");
+                let none = || self.fault(node, &key, format!("{word:?} is none of {names}"));
+                Subject::Budget(known.ok_or_else(none)?.1)
+            }
             _ if self.flag(node, &key, "each-member")? => Subject::EachMember,
             _ => return Err(self.fault(node, &key, "is #true or not there")),
         };
--- a/crates/config/src/router.rs
+++ b/crates/config/src/router.rs
@@ -247,7 +247,7 @@
         let (what, name, known) = match &limit.subject {
             Subject::Tenant(name) => ("tenant", name, &config.site.tenants),
             Subject::Class(name) => ("class", name, &config.site.classes),
-            Subject::Group(_) | Subject::EachMember => continue,
+            Subject::Group(_) | Subject::EachMember | Subject::Budget(_) => continue,
         };
         if !known.contains(name) {
             let key = format!("fleet.limit {:?} {what}", limit.name);
--- a/crates/fleet/src/account.rs
+++ b/crates/fleet/src/account.rs
@@ -55,6 +55,8 @@
     floor: u64,
     /// From then on: what an earlier life has used of them may still be in use before.
     floor_from: Time,
+    /// One token at least is always wanted: nobody asks for it before it is there.
+    standing: bool,
     times: Times,
     ledger: Ledger,
     shares: BTreeMap<Tag, (u64, Time)>,
@@ -107,6 +109,7 @@
             bounds,
             floor,
             floor_from,
+            standing: false,
             times,
             ledger: Ledger::default(),
             shares: BTreeMap::new(),
@@ -123,6 +126,11 @@
         }
     }
 
+    /// The same for a budget, of which one token at least is always wanted.
+    pub fn standing(self) -> Account {
+        Account { standing: true, ..self }
+    }
+
     /// What it is the account of.
     pub fn key(&self) -> Key {
         self.key
@@ -211,6 +219,25 @@
         (tokens.open(), tokens.back(floor, beyond))
     }
 
+    /// A token was wanted that was not there.
+    pub fn wanted(&mut self) {
+        self.demand.asked += 1;
+    }
+
+    /// Whole tokens that are there.
+    pub fn left(&self) -> u32 {
+        self.tokens.as_ref().map_or(u32::MAX, |t| t.whole())
+    }
+
+    /// One token is wanted; it is spent if it is there.
+    pub fn take_one(&mut self, now: Time) -> bool {
+        let there = self.asked(now).0 > 0.0;
+        if there {
+            self.spend();
+        }
+        there
+    }
+
     /// A request is refused.
     pub fn refused(&mut self) {
         self.tokens.iter_mut().for_each(Tokens::refuse);
@@ -250,7 +277,7 @@
                 // While tokens are there, moments of more are theirs to bear.
                 let level = self.tokens.as_ref().map_or(0.0, Tokens::level);
                 let rate = self.demand.slow.max(if level < 0.5 { self.demand.quick } else { 0.0 });
-                if rate < QUIET_PER_S {
+                if rate < QUIET_PER_S && !self.standing {
                     return 0;
                 }
                 let rate = rate * (NO_TOKENS - ALL_TOKENS * level);
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -3,7 +3,7 @@
 
 use crate::account::Account;
 use crate::lease::{Claim, Life, Voter};
-use crate::limit::{Bounds, Key, Limit, Subject};
+use crate::limit::{Bounds, Budget, Key, Limit, Subject};
 use crate::loan::Question;
 use crate::names::{mix, Names, Tag};
 use crate::packet::{size, Content, Message, Packet, Word, ROOM};
@@ -591,6 +591,32 @@
         }
     }
 
+    /// The key of a budget, if there is one.
+    pub fn budget(&self, budget: Budget) -> Option<Key> {
+        let limit = self.plan.limits.iter().find(|l| l.subject == Subject::Budget(budget));
+        limit.map(|l| Key::of(&l.name))
+    }
+
+    /// How many more may be spent of a budget now.
+    pub fn left(&mut self, now: Time, key: Key) -> u32 {
+        self.accounts.get_mut(&key).map_or(0, |account| {
+            account.settle(now);
+            account.left()
+        })
+    }
+
+    /// One more was wanted of a budget that is spent.
+    pub fn wanted(&mut self, key: Key) {
+        self.accounts.get_mut(&key).into_iter().for_each(Account::wanted);
+    }
+
+    /// One is wanted of a budget; it is spent if it is there.
+    pub fn take_one(&mut self, now: Time, key: Key) -> bool {
+        let Some(account) = self.accounts.get_mut(&key) else { return true };
+        account.settle(now);
+        account.take_one(now)
+    }
+
     /// How many more may be out at a time under a key, each for so long at most; all if it has no account.
     pub fn room(&mut self, now: Time, key: Key, span: Time) -> u64 {
         self.accounts.get_mut(&key).map_or(u64::MAX, |account| {
@@ -764,7 +790,11 @@
         // Tokens are spent at once: loans of them need not outlast any use.
         Bounds::Rate { .. } => {
             let times = Times { lease: plan.times.lease, ..Times::new(plan.times.drift, Time(0)) };
-            Account::new(now, key, limit.bounds, floor, now, times)
+            let account = Account::new(now, key, limit.bounds, floor, now, times);
+            match limit.subject {
+                Subject::Budget(_) => account.standing(),
+                _ => account,
+            }
         }
         Bounds::AtOnce(_) => Account::new(now, key, limit.bounds, floor, settled, plan.times),
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -21,7 +21,7 @@
 pub mod times;
 
 pub use fleet::{Effect, Fleet, Open};
-pub use limit::{Bounds, Key, Limit, Subject};
+pub use limit::{Bounds, Budget, Key, Limit, Subject};
 pub use names::{Names, Peer, Tag};
 pub use seal::Seal;
 pub use times::Times;
--- a/crates/fleet/src/limit.rs
+++ b/crates/fleet/src/limit.rs
@@ -14,6 +14,31 @@
     Group(u32),
     /// Requests out at each member, each counted by itself.
     EachMember,
+    /// What routers do of their own accord.
+    Budget(Budget),
+}
+
+/// What routers do of their own accord, and all together should not do too often.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Budget {
+    /// Further attempts of requests, after the first.
+    Retries,
+    /// Probes of members.
+    Probes,
+    /// New connections to members, but for probes.
+    Connects,
+    /// Calls for the list of members.
+    ListCalls,
+}
+
+impl Budget {
+    /// All of them, by the names that the settings have for them.
+    pub const ALL: [(&'static str, Budget); 4] = [
+        ("retries", Budget::Retries),
+        ("probes", Budget::Probes),
+        ("connects", Budget::Connects),
+        ("list-calls", Budget::ListCalls),
+    ];
 }
 
 /// How much is allowed, over all routers.
@@ -68,6 +93,7 @@
             Subject::Class(name) => hash(name.as_bytes()) ^ 2,
             Subject::Group(number) => mix(u64::from(*number) ^ 3 << 32),
             Subject::EachMember => 4,
+            Subject::Budget(budget) => mix(5 << 32 | *budget as u64),
         };
         let parts = [hash(self.name.as_bytes()), subject, kind, a, b, self.alone.to_bits()];
         parts.iter().fold(0, |h, part| mix(h ^ part))
--- a/crates/fleet/src/meter.rs
+++ b/crates/fleet/src/meter.rs
@@ -62,6 +62,11 @@
         }
     }
 
+    /// Whole tokens that are there.
+    pub fn whole(&self) -> u32 {
+        self.tokens.max(0.0) as u32
+    }
+
     /// Spends one.
     pub fn spend(&mut self) {
         self.tokens -= 1.0;
--- a/crates/lab/src/fleet_limits.rs
+++ b/crates/lab/src/fleet_limits.rs
@@ -9,7 +9,7 @@
 use basalthill_policy::api::Time;
 use basalthill_standin::fleet::Dice;
 use basalthill_standin::model::{names, Model};
-use basalthill_standin::rig::{over, Clients, Rig, Setup};
+use basalthill_standin::rig::{over, Clients, HostsDo, Rig, Setup};
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -89,6 +89,7 @@
         routers,
         hosts: 6,
         work: Duration::ZERO,
+        hosts_do: HostsDo::Serve,
         limits: way.limits(),
         alone: way == Way::Whole,
         direct: false,
@@ -306,6 +307,7 @@
         let times = Times::new(0.01, Time(0));
         let plan = Plan { names: names(routers), limits: vec![limit], times, settle: Time(0) };
         let mut model = Model::new(plan, Some(Key::of("acme")), None, Time(0), common.seed);
+        model.sums = false;
         (0..routers).for_each(|n| model.start(n));
         // Until all know of all.
         model.run(Time::ms(20_000));
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -356,6 +356,9 @@
     /// A request that limits count which hold over all routers: how much of them is open, as a share, and
     /// when it may come back if it is turned away for them.
     Scarce(Request, f64, Time),
+    /// So many further attempts of requests, and probes, are left by budgets over all routers; none where
+    /// there is no such budget. They count until the next such event.
+    Left(Option<u32>, Option<u32>),
     /// So many more attempts may be out at a member, as a limit over all routers has it.
     Room(MemberId, u32),
     /// An attempt's answer has begun to flow: it belongs to the client now.
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -116,8 +116,7 @@
             self.breaker = Breaker::Open(Why::Transport, now.plus(COOLDOWN));
         }
     }
-    /// One back after failures running, a probe's among them, has most likely restarted and is cold: the list
-    /// tells later. Connects alone may have failed for want of connections.
+    /// One back after failures running, a probe's among them, has likely restarted: it is cold.
     fn heard(&mut self, now: Time, proves: Why) {
         if self.failures >= FAILURES && self.lost > self.refreshed && self.started < Some(self.lost) {
             self.restarted(Some(self.lost), now);
@@ -181,8 +180,9 @@
     usual: Vec<[(Time, u32); 3]>, // times left that many clients of each class come with, and their votes
     margin: Time,
     groups: BTreeMap<GroupId, Vec<MemberId>>,
-    probes: f64, // that may still be sent
-    next: Time,  // of the timer that counts
+    probes: f64,            // that may still be sent
+    left: [Option<u32>; 2], // retries and probes that all routers' budgets leave to this one
+    next: Time,             // of the timer that counts
     asked: Time,
     short: Time,         // when a member that is up was last known to want for connections
     served: (f64, Time), // work, fading
@@ -219,16 +219,16 @@
             }
         }
         match event {
-            Event::List(ListForm::Failed, _) | Event::Started(..) | Event::Message(..) => {}
+            Event::Timer(_) if now >= self.next => self.sweep(out),
+            Event::List(ListForm::Failed, _) | Event::Started(..) | Event::Message(..) | Event::Timer(_) => {}
             Event::List(form, entries) => self.list(form, entries, out),
             Event::Request(req) => self.request(req, out),
             Event::Scarce(req, open, back) => self.scarce(req, open, back, out),
+            Event::Left(retries, probes) => self.left = [retries, probes],
             Event::Room(id, most) => self.members.get_mut(&id).into_iter().for_each(|m| m.most = Some(most)),
             Event::Outcome(o) => self.outcome(o, out),
             Event::Lapsed(id) => self.forget(id, out),
             Event::Probed(m, status, _, report) => self.probed(m, status, report, out),
-            Event::Timer(_) if now < self.next => {}
-            Event::Timer(_) => self.sweep(out),
         }
         let due = now.plus(if self.held.is_empty() { REST_SWEEP } else { SWEEP });
         if due < self.next {
@@ -291,8 +291,8 @@
     fn probe(&mut self, id: MemberId, out: &mut Vec<Action>) {
         let Some(m) = self.members.get_mut(&id) else { return };
         let told = m.draining.is_some_and(|at| self.now.since(at) >= self.set.drain_grace);
-        if self.set.probes && m.probe.is_none() && !told && self.probes >= 1.0 {
-            self.probes -= 1.0;
+        if self.set.probes && m.probe.is_none() && !told && self.probes >= 1.0 && self.left[1] != Some(0) {
+            (self.probes, self.left[1]) = (self.probes - 1.0, self.left[1].map(|n| n - 1));
             (m.probe, m.asked) = (Some(self.now), self.now);
             out.push(Action::Probe(id));
         }
@@ -391,8 +391,7 @@
 
     fn legal(&self, job: &Job, id: MemberId) -> bool {
         let (Some(m), class) = (self.members.get(&id), &self.set.classes[job.c]) else { return false };
-        let out = job.out();
-        let spent = job.tries.len() >= self.set.max_attempts as usize;
+        let (out, spent) = (job.out(), self.spent(job));
         let copy = out > 0 && (!self.set.second_copies || class.effect == Effect::Unsafe || out > 1);
         let drained =
             m.draining.is_some_and(|at| at.plus(self.set.drain_grace) <= self.now.plus(self.set.tick));
@@ -413,10 +412,9 @@
         !stale && (self.warmth(m) >= 1.0 || self.credit(m) >= 0.0 || drawn())
     }
 
-    /// The part of what it is asked for in a cold member's group that one of many routers sends there. One
-    /// that meets a group every few seconds can't save up for a request meanwhile; parts add up as rates do.
-    /// The group is taken to ask for as much as others, or more if it does so here, and all of it to come to
-    /// this member: which of the others still take something a thinly used router can't know.
+    /// The part of what it is asked for in a cold member's group that one of many routers sends there: one
+    /// that meets a group every few seconds can't save up. Parts add up as rates do. The group is taken to
+    /// ask for as much as others, or more if it does so here, and all of it to come to this member.
     fn cold_part(&self, job: &Job, id: MemberId, m: &Member) -> f64 {
         let needs = needs(&self.set.classes[job.c]);
         if needs == 0 && Some(id) == self.primary(m.group) {
@@ -440,8 +438,7 @@
         self.faded(self.served, SERVED_OVER_S) / self.over(SERVED_OVER_S) * m.weight / self.weight
     }
 
-    /// Work a second that this router may send to a cold member, by its least warmth and this router's rate
-    /// at members. Rates add up: all routers together keep to the rule, however many they are.
+    /// Work a second for a cold member, by its least warmth and this router's rate at members: rates add up.
     fn cold_rate(&self, m: &Member) -> f64 {
         let least = COLD_LEAST / f64::from(self.set.routers).max(FEW_ROUTERS);
         (self.own(m) * self.few() * COLD_SHARE * self.set.fall_multiple * self.warmth(m)).max(least)
@@ -562,8 +559,7 @@
         best.or_else(|| primary.filter(|id| self.spills(job, *id)))
     }
 
-    /// A replica that fails the gate by an aged position, where it turns the read away untouched if it really
-    /// is behind: the answer or the miss tells. One such read at a time, the most advanced first.
+    /// An aged replica that turns away what it is too far behind for: one read at a time, the furthest on.
     fn trial(&self, job: &Job, primary: Option<MemberId>) -> Option<MemberId> {
         let refuses = self.set.when_behind == WhenBehind::Refuses;
         let fits = self.in_group(job.req.group).filter(|(id, m)| {
@@ -687,9 +683,15 @@
         last.min(if class.late_worth > 0.0 { last } else { aim })
     }
 
+    /// Whether a request may have no further attempt.
+    fn spent(&self, job: &Job) -> bool {
+        let tries = job.tries.len();
+        tries >= self.set.max_attempts as usize || (tries > 0 && self.left[0] == Some(0))
+    }
+
     /// Held only while an attempt may still be made and can still be answered in time.
     fn worth_holding(&self, job: &Job) -> bool {
-        let (class, spent) = (&self.set.classes[job.c], job.tries.len() >= self.set.max_attempts as usize);
+        let (class, spent) = (&self.set.classes[job.c], self.spent(job));
         let keyed = |t: &Try| class.effect == Effect::Keyed && self.now.since(t.sent) < class.window;
         let again = class.effect == Effect::Safe || job.may_have_run().is_none_or(keyed);
         let some = !spent && again && self.groups.contains_key(&job.req.group);
@@ -705,6 +707,7 @@
         let (Some(job), Some(m)) = (self.jobs.get_mut(&id), self.members.get_mut(&member)) else { return };
         self.held.remove(&(group, id));
         let limit = job.req.give_up.since(now.plus(self.set.tick)).max(self.set.tick);
+        self.left[0] = self.left[0].map(|n| n - u32::from(!job.tries.is_empty() && n > 0));
         job.tries.push(Try { member, sent: now, status: None, lost: false });
         (m.in_flight, m.credit) = (m.in_flight + 1, (credit - base, now));
         m.most = m.most.map(|n| n.saturating_sub(1));
@@ -746,8 +749,7 @@
         }
     }
 
-    /// A member that answers right after it refused a connect is up and wants for connections, as neither a
-    /// dead one nor one cut off does: idle ones are closed for a while, so that others find room.
+    /// One that answers right after it refused a connect is full, not dead or cut off: idle ones close.
     fn wants(&mut self, id: MemberId, out: &mut Vec<Action>) {
         let Some(m) = self.members.get_mut(&id) else { return };
         let refused = std::mem::take(&mut m.refused);
@@ -905,8 +907,7 @@
         self.send(id, member, out);
     }
 
-    /// What is out for too long: a member that has answered nothing since is rested. One that goes on has
-    /// most likely lost that answer and works on it no more. Harm: one with many heavy requests gets more.
+    /// Out for too long: a member that answered nothing since is rested; one that goes on has lost it.
     fn overdue(&mut self) {
         let now = self.now;
         for job in self.jobs.values_mut() {
--- a/crates/router/src/routing/limits.rs
+++ b/crates/router/src/routing/limits.rs
@@ -7,7 +7,7 @@
 use basalthill_fleet::fleet::{Effect as Word, Plan};
 use basalthill_fleet::packet::{Operator, Packet};
 use basalthill_fleet::seal::Dropped;
-use basalthill_fleet::{Bounds, Fleet, Key, Limit, Seal, Subject, Times};
+use basalthill_fleet::{Bounds, Budget, Fleet, Key, Limit, Seal, Subject, Times};
 use basalthill_policy::api::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -45,6 +45,8 @@
     groups: BTreeMap<GroupId, BTreeSet<MemberId>>,
     /// What the decisions take each member's room for.
     told: BTreeMap<MemberId, u32>,
+    /// And what they take the budgets for retries and probes for.
+    left: [Option<u32>; 2],
     longest: Time,
 }
 
@@ -55,7 +57,7 @@
         let (each, longest) = (each(&plan.limits), plan.settle);
         let fleet = Fleet::new(now, name, now.0 / 1_000_000, plan, seal, seed);
         let (keys, groups, told) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-        Limits { fleet, each, keys, groups, told, longest }
+        Limits { fleet, each, keys, groups, told, left: [None; 2], longest }
     }
 
     /// Keys of the limits that count a request.
@@ -64,11 +66,16 @@
             Subject::Tenant(name) => name == tenant,
             Subject::Class(name) => name == class,
             Subject::Group(number) => *number == group.0,
-            Subject::EachMember => false,
+            Subject::EachMember | Subject::Budget(_) => false,
         };
         self.fleet.limits().iter().filter(counts).map(|l| Key::of(&l.name)).collect()
     }
 
+    /// What is left of the budgets that the decisions spend.
+    fn left(&mut self, now: Time) -> [Option<u32>; 2] {
+        [Budget::Retries, Budget::Probes].map(|b| self.fleet.budget(b).map(|key| self.fleet.left(now, key)))
+    }
+
     fn number(id: RequestId, attempt: Attempt) -> u64 {
         id.0 << 16 | u64::from(attempt.0)
     }
@@ -152,9 +159,13 @@
         limits.fleet.members(now, ids);
     }
 
-    /// Tells the decisions each member's room that is not what they take it for.
+    /// Tells the decisions each member's room, and what is left of budgets, where it is not what they take it
+    /// for.
     fn tell_rooms(&mut self, now: Time) {
         let Some(limits) = &mut self.limits else { return };
+        if limits.left(now) != limits.left {
+            self.events.push_back(Event::Left(None, None));
+        }
         if limits.each.is_none() {
             // A limit that is gone leaves no bound behind.
             let open = std::mem::take(&mut limits.told).into_keys();
@@ -233,8 +244,37 @@
         self.events.push_back(Event::Room(member, 0));
     }
 
-    /// An event as it is to be handed on: a room is told as it is now, after all that was sent meanwhile.
+    /// A request ends without a value. If it had an attempt and the budget for further ones is spent, one more
+    /// was wanted.
+    pub(super) fn gave_up(&mut self, id: RequestId) {
+        let tried = self.requests.get(id).is_some_and(|open| !open.attempts.is_empty());
+        let Some(limits) = self.limits.as_mut().filter(|l| tried && l.left[0] == Some(0)) else { return };
+        if let Some(key) = limits.fleet.budget(Budget::Retries) {
+            limits.fleet.wanted(key);
+        }
+    }
+
+    /// One is spent of a budget: by the decisions, which count down by themselves, or by transport, which may
+    /// only if it is there.
+    pub fn spends(&mut self, now: Time, budget: Budget) -> bool {
+        let Some(limits) = &mut self.limits else { return true };
+        let Some(key) = limits.fleet.budget(budget) else { return true };
+        let there = limits.fleet.take_one(now, key);
+        match budget {
+            Budget::Retries => limits.left[0] = limits.left[0].map(|n| n.saturating_sub(1)),
+            Budget::Probes => limits.left[1] = limits.left[1].map(|n| n.saturating_sub(1)),
+            Budget::Connects | Budget::ListCalls => {}
+        }
+        there
+    }
+
+    /// An event as it is to be handed on: a room, and what is left, are told as they are now, after all
+    /// that was sent meanwhile.
     pub(super) fn as_of_now(&mut self, now: Time, event: Event) -> Event {
+        if let (Event::Left(..), Some(limits)) = (&event, &mut self.limits) {
+            limits.left = limits.left(now);
+            return Event::Left(limits.left[0], limits.left[1]);
+        }
         let (Event::Room(member, _), Some(limits)) = (&event, &mut self.limits) else { return event };
         let Some(key) = limits.keys.get(member).filter(|_| limits.each.is_some()) else {
             return Event::Room(*member, u32::MAX);
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -21,7 +21,7 @@
 use basalthill_config::settings::{Reports, Site};
 use basalthill_extproc::lease::StreamId;
 use basalthill_extproc::{Call, Desk, LeaseId, Say, Told};
-use basalthill_fleet::Key;
+use basalthill_fleet::{Budget, Key};
 use basalthill_policy::api::*;
 use basalthill_policy::Policy;
 use basalthill_session::{Counts, Sessions};
@@ -312,11 +312,13 @@
         match action {
             Action::Send(id, member, limit) => self.send(now, id, member, limit, out),
             Action::Refuse(id, after) => {
+                self.gave_up(id);
                 let ms = after.map(|t| t.0.div_ceil(1_000_000));
                 self.doubtful(now, id, out);
                 self.answer(now, id, Answer::Refused(ms), out);
             }
             Action::Fail(id) => {
+                self.gave_up(id);
                 self.doubtful(now, id, out);
                 self.answer(now, id, Answer::Failed, out);
             }
@@ -339,6 +341,7 @@
                         none,
                     ));
                 };
+                self.spends(now, Budget::Probes);
                 let (timers, due) = (&mut self.timers, now.plus(self.site.connect_timeout));
                 let number = self.probes.put(|number| Exchange {
                     member,
@@ -448,6 +451,9 @@
         }
         out.push(Effect::Begin(Order { id: ExchangeId::Attempt(id, attempt), member, addr, query }));
         self.begun(now, id, attempt, member, now.plus(wait));
+        if attempt > Attempt(0) {
+            self.spends(now, Budget::Retries);
+        }
     }
 
     fn ended(&mut self, now: Time, exchange: ExchangeId, ended: Ended, out: &mut Vec<Effect>) {
--- a/crates/router/src/transport/exchange.rs
+++ b/crates/router/src/transport/exchange.rs
@@ -7,6 +7,7 @@
 use crate::routing::{Ended, Order, Query};
 use async_io::{Async, Timer};
 use basalthill_config::router::ANSWER_PAUSE;
+use basalthill_fleet::Budget;
 use futures_lite::future;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -20,6 +21,9 @@
         match hub.pool.take(addr) {
             Taken::Ready(connection) => break connection,
             Taken::Resting(left) => drop(Timer::after(left).await),
+            // A want of connects over all routers says nothing of the member. Probes have a budget of
+            // their own.
+            Taken::Nothing if !may_connect(hub, &query) => return Ended::Withheld,
             Taken::Nothing => match connect(hub, addr).await {
                 Ok(connection) => break connection,
                 Err(ended) => return ended,
@@ -44,6 +48,11 @@
     ended
 }
 
+fn may_connect(hub: &Hub, query: &Query) -> bool {
+    let own = matches!(query, Query::Own(_));
+    own || hub.router.borrow_mut().spends(hub.clock.now(), Budget::Connects)
+}
+
 async fn connect(hub: &Rc<Hub>, addr: SocketAddr) -> Result<HostConnection, Ended> {
     let up = async {
         // A want of descriptors is this router's own and passes as exchanges end: it is waited out within the
--- a/crates/router/src/transport/watch.rs
+++ b/crates/router/src/transport/watch.rs
@@ -7,6 +7,7 @@
 use crate::routing::Input;
 use async_executor::Task;
 use async_io::{Async, Timer};
+use basalthill_fleet::Budget;
 use futures_lite::future;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -25,6 +26,8 @@
     addr: Cell<SocketAddr>,
     /// The watches that are open: the newest, and until that has told its list the one before it.
     watches: RefCell<BTreeMap<u64, Task<()>>>,
+    /// A call has been made.
+    called: Cell<bool>,
     /// The whole list is asked for.
     pub fetch: Signal,
     /// A list has been told.
@@ -35,7 +38,13 @@
     /// Nowhere yet; `addr` is where it will be.
     pub fn new(addr: SocketAddr) -> Following {
         let (fetch, listed) = (Signal::default(), Signal::default());
-        Following { addr: Cell::new(addr), watches: RefCell::default(), fetch, listed }
+        Following {
+            addr: Cell::new(addr),
+            called: Cell::new(false),
+            watches: RefCell::default(),
+            fetch,
+            listed,
+        }
     }
 
     /// Where discovery answers.
@@ -70,6 +79,9 @@
     }
 }
 
+/// How often one looks again whether a call may be made.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
+
 /// Why a watch has ended.
 enum End {
     /// The connection, or the protocol on it, has failed.
@@ -110,7 +122,7 @@
     version: &mut Option<u64>,
     told: &mut bool,
 ) -> End {
-    let stream = match ask(addr, &watch_request(&addr.to_string(), *version)).await {
+    let stream = match ask(hub, addr, &watch_request(&addr.to_string(), *version)).await {
         Ok(stream) => stream,
         Err(end) => return end,
     };
@@ -160,7 +172,7 @@
 }
 
 async fn fetch(hub: &Rc<Hub>, addr: SocketAddr) -> Result<(), End> {
-    let stream = ask(addr, &list_request(&addr.to_string())).await?;
+    let stream = ask(hub, addr, &list_request(&addr.to_string())).await?;
     let mut side = WatchSide::default();
     loop {
         match side.take().map_err(|e| End::Unreadable(e.to_string()))? {
@@ -185,8 +197,14 @@
     }
 }
 
-/// Connects and writes a request.
-async fn ask(addr: SocketAddr, request: &[u8]) -> Result<Async<TcpStream>, End> {
+/// Connects and writes a request, once all routers' budget for such calls has one for it.
+async fn ask(hub: &Hub, addr: SocketAddr, request: &[u8]) -> Result<Async<TcpStream>, End> {
+    // A router that has just started calls whatever the others do: it could not serve else.
+    while hub.following.called.replace(true)
+        && !hub.router.borrow_mut().spends(hub.clock.now(), Budget::ListCalls)
+    {
+        Timer::after(LOOK_AGAIN).await;
+    }
     let asked = async {
         let stream = Async::<TcpStream>::connect(addr).await?;
         io::write(&stream, &[request]).await?;
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -36,6 +36,8 @@
     pub statements: Vec<(usize, String)>,
     /// When each of them came.
     pub times: Vec<std::time::Instant>,
+    /// When connections were accepted.
+    pub accepted_at: Vec<std::time::Instant>,
     /// Connections accepted so far.
     pub accepted: usize,
     /// Connections that are open.
@@ -64,6 +66,7 @@
             for stream in listener.incoming().flatten() {
                 let number = seen.change(|s| {
                     (s.accepted, s.open) = (s.accepted + 1, s.open + 1);
+                    s.accepted_at.push(std::time::Instant::now());
                     s.accepted
                 });
                 let (seen, answers) = (Arc::clone(&seen), Arc::clone(&answers));
--- a/crates/standin/src/rig.rs
+++ b/crates/standin/src/rig.rs
@@ -24,6 +24,8 @@
     pub hosts: usize,
     /// How long a host works on a statement.
     pub work: Duration,
+    /// What hosts do with statements.
+    pub hosts_do: HostsDo,
     /// Nodes of KDL inside `fleet`, besides names and keys; without any the routers have no fleet.
     pub limits: Option<String>,
     /// Each router knows of itself alone.
@@ -34,6 +36,18 @@
     pub seed: u64,
 }
 
+/// What hosts do with statements.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum HostsDo {
+    /// They serve them.
+    #[default]
+    Serve,
+    /// One in three fails.
+    FailSome,
+    /// They close the connection after each, and may not be probed.
+    Close,
+}
+
 /// A host that counts.
 #[derive(Clone)]
 pub struct Counted {
@@ -81,7 +95,7 @@
 impl Rig {
     /// Starts it all; files are laid into a folder.
     pub fn start(program: &Path, folder: &Path, setup: &Setup) -> io::Result<Rig> {
-        let hosts: Vec<Counted> = (0..setup.hosts).map(|_| counted(setup.work)).collect::<io::Result<_>>()?;
+        let hosts: Vec<Counted> = (0..setup.hosts).map(|_| counted(setup)).collect::<io::Result<_>>()?;
         let names: Vec<String> = (0..setup.hosts).map(|n| format!("s-{n}")).collect();
         let rank = |n| if n == 0 { "source" } else { "copy" };
         let members = hosts.iter().enumerate();
@@ -92,6 +106,7 @@
         let settings = crate::SETTINGS
             .replace("\"balancers\": 2", &format!("\"balancers\": {}", setup.routers))
             .replace("6000000000", "1500000000")
+            .replace("\"probes\": true", &format!("\"probes\": {}", setup.hosts_do != HostsDo::Close))
             .replace("\"deadline\": 3000000000", "\"deadline\": 1500000000");
         let limits = r#"{"sockets":4096,"memory_mb":192}"#;
         let text = format!(r#"{{"seed":"1","limits":{limits},"known":{known},"settings":{settings}}}"#);
@@ -214,7 +229,9 @@
     }
 }
 
-fn counted(work: Duration) -> io::Result<Counted> {
+fn counted(setup: &Setup) -> io::Result<Counted> {
+    let (work, hosts_do) = (setup.work, setup.hosts_do);
+    let had = AtomicUsize::new(0);
     let (busy, most) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
     let (working, highest) = (busy, Arc::clone(&most));
     let host = Host::start(move |text| {
@@ -226,7 +243,14 @@
             working.fetch_sub(1, Ordering::SeqCst);
         }
         let telling = vec![("as_of", unix_ms().to_string()), ("rank", "copy".to_string())];
-        (Reply::Row(b"v".to_vec()), telling)
+        let reply = match hosts_do {
+            HostsDo::FailSome if asks && had.fetch_add(1, Ordering::Relaxed) % 3 == 0 => {
+                Reply::Error("XX000")
+            }
+            HostsDo::Close => Reply::Last(b"v".to_vec()),
+            _ => Reply::Row(b"v".to_vec()),
+        };
+        (reply, telling)
     })?;
     Ok(Counted { host, most })
 }
