--- a/crates/config/tests/own.rs
+++ b/crates/config/tests/own.rs
@@ -1,7 +1,7 @@
 //! Our own settings: what they say, and how a fault is named.
 
 use basalthill_config::own::{load, parse, Own};
-use basalthill_fleet::{Bounds, Subject, Tag};
+use basalthill_fleet::{Bounds, Budget, Subject, Tag};
 use basalthill_policy::api::Time;
 use basalthill_session::sessions::{Handing, StandIn};
 use basalthill_session::token::KeyId;
@@ -125,7 +125,7 @@
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/basalthill.kdl");
     assert_eq!(load(&path).unwrap().fleet, None);
     let fleet = parse(&fleet_file()).unwrap().fleet.unwrap();
-    assert_eq!((fleet.names.len(), fleet.drift, fleet.limits.len()), (3, 0.01, 4));
+    assert_eq!((fleet.names.len(), fleet.drift, fleet.limits.len()), (3, 0.01, 5));
     assert_eq!((fleet.keys.signing.id, fleet.keys.verifying.len()), (KeyId(2), 1));
     assert_eq!(fleet.listen, "0.0.0.0:7946".parse().ok());
     let peer = fleet.names.get(Tag::of("n2")).unwrap();
@@ -137,6 +137,7 @@
     // Not given: as many at once as a second's, and one for each router at least.
     assert_eq!(limit("reports").bounds, Bounds::Rate { per_s: 50.0, burst: 50.0 });
     assert_eq!(limit("hosts").bounds, Bounds::AtOnce(60));
+    assert_eq!(limit("retries").subject, Subject::Budget(Budget::Retries));
     let few = parse(&fleet_file().replace("per-s=50", "per-s=0.5")).unwrap().fleet.unwrap();
     let reports = few.limits.iter().find(|l| l.name == "reports").unwrap();
     assert_eq!(reports.bounds, Bounds::Rate { per_s: 0.5, burst: 3.0 });
@@ -172,6 +173,11 @@
         (change("alone-percent=10", "alone-percent=101"), "fleet.limit.alone-percent: must be a number"),
         (change("signs=#true\n    key 1 \"0a", "\n    key 1 \"0a"), "fleet: no key signs"),
         (change("each-member=#true", "each-member=#false"), "fleet.limit.each-member: is #true or not there"),
+        (
+            change("budget=\"retries\"", "budget=\"tries\""),
+            "fleet.limit.budget: \"tries\" is none of retries",
+        ),
+        (change("group=2", "budget=\"retries\""), "fleet.limit: what it counts has a limit already"),
         (change("listen \"0.0.0.0:7946\"", "lisn 1"), "fleet.lisn: is unknown"),
     ];
     for (said, part) in cases {
--- a/crates/fleet/src/loan.rs
+++ b/crates/fleet/src/loan.rs
@@ -223,4 +223,25 @@
         stairs.cut(0);
         assert!(stairs.steps.is_empty());
     }
+
+    #[test]
+    fn an_answer_that_comes_after_its_lapse_or_twice_gives_nothing_more() {
+        let mut ledger = Ledger::default();
+        let mut borrowed = Borrowed::default();
+        let question = borrowed.ask(Time::ms(100), 0, &mut ledger);
+        borrowed.answered(question.number, 7, Time::ms(500), &mut ledger);
+        assert_eq!((borrowed.units(Time::ms(599)), borrowed.units(Time::ms(600))), (7, 0));
+        // Again, and larger: the question has had its answer.
+        borrowed.answered(question.number, 9, Time::ms(500), &mut ledger);
+        assert_eq!(borrowed.units(Time::ms(599)), 7);
+        // An answer to an earlier question, after a newer one has gone out.
+        let later = borrowed.ask(Time::ms(300), 2, &mut ledger);
+        borrowed.answered(question.number, 9, Time::ms(500), &mut ledger);
+        assert_eq!((later.keep, borrowed.units(Time::ms(301))), (2, 2));
+        // One that comes later than it counts for.
+        let late = borrowed.ask(Time::ms(700), 9, &mut ledger);
+        borrowed.answered(late.number, 9, Time::ms(500), &mut ledger);
+        assert_eq!(borrowed.units(Time::ms(1300)), 0);
+        assert_eq!(ledger.least(Time::ms(1300), Time::ms(1301)), 0);
+    }
 }
--- a/crates/fleet/tests/limits.rs
+++ b/crates/fleet/tests/limits.rs
@@ -170,7 +170,42 @@
         model.start(0);
         model.run(s(13.0 + 3.0 * f64::from(n)));
     }
+    model.run(s(45.0));
     assert_kept(&model);
+    // Its last life borrows again, though those who lend have answered the questions of others by its name.
+    let used = used(&model, 38.0, 45.0);
+    assert!(used >= 0.85, "{used} of the rate is used");
+}
+
+#[test]
+fn a_healed_split_leaves_nothing_with_those_who_dealt_out_on_one_side() {
+    let mut model = fleet(8, 77);
+    (0..8).for_each(|n| model.demand(n, if n < 2 { 333.0 } else { 40.0 }, 0.0));
+    model.run(s(12.0));
+    model.links.split(&[(0..4).collect(), (4..8).collect()]);
+    model.run(s(18.0));
+    model.links.cut.clear();
+    model.run(s(25.0));
+    assert_kept(&model);
+    let (at_once, later) = (used(&model, 18.0, 20.0), used(&model, 20.0, 25.0));
+    assert!(at_once >= 0.88 && later >= 0.92, "{at_once} at once, {later} after two seconds");
+}
+
+#[test]
+fn one_that_stands_still_for_a_moment_contradicts_and_is_not_given_up() {
+    let mut model = fleet(12, 18);
+    model.run(s(6.0));
+    for n in 0..6 {
+        model.freeze(3);
+        model.run(s(7.2 + 5.0 * f64::from(n)));
+        model.thaw(3);
+        model.run(s(11.0 + 5.0 * f64::from(n)));
+    }
+    let said = |part: &str| model.seen.said.iter().filter(|(_, _, line)| line.contains(part)).count();
+    assert!(said("n3 does not answer") > 0);
+    assert_eq!(said("n3 is dead"), 0);
+    let alive = (0..12).all(|n| model.fleet(n).is_some_and(|f| f.swim().living().count() == 12));
+    assert!(alive, "all are taken for alive again");
 }
 
 #[test]
