Fleet: a restarted router waits for its earlier life's places, tested

Need: taking the wait away broke no test, as no router kept a whole place for itself in them.

Change: a simulated run with static shares and kills; it fails without the wait.

--- a/crates/fleet/tests/limits.rs
+++ b/crates/fleet/tests/limits.rs
@@ -208,6 +208,23 @@
     assert!(alive, "all are taken for alive again");
 }
 
+#[test]
+fn a_router_that_restarts_waits_for_what_its_earlier_life_has_in_use() {
+    let mut plan = plan(4);
+    plan.limits[1].alone = 1.0;
+    let mut model = Model::new(plan, None, Some(Key::of("hosts")), LONGEST, 19);
+    (0..4).for_each(|n| model.start(n));
+    (0..4).for_each(|n| model.demand(n, 0.0, 60.0));
+    for n in 0..20 {
+        model.run(s(3.0 + f64::from(n)));
+        model.kill(n as usize % 4);
+        model.start(n as usize % 4);
+    }
+    let places: Vec<_> = model.seen.places.iter().map(|p| (p.0, p.1)).collect();
+    assert!(most_at_once(&places) <= i64::from(PLACES), "{} at once", most_at_once(&places));
+    assert!(places.len() > 500, "{} places", places.len());
+}
+
 #[test]
 fn a_frozen_router_wakes_and_spends_nothing_that_has_lapsed() {
     let mut model = fleet(8, 10);
--- a/crates/router/src/routing/limits.rs
+++ b/crates/router/src/routing/limits.rs
@@ -244,8 +244,8 @@
         self.events.push_back(Event::Room(member, 0));
     }
 
-    /// A request ends without a value. If it had an attempt and the budget for further ones is spent, one more
-    /// was wanted.
+    /// A request ends without a value. If it had an attempt and the budget for further ones is spent, one
+    /// more was wanted.
     pub(super) fn gave_up(&mut self, id: RequestId) {
         let tried = self.requests.get(id).is_some_and(|open| !open.attempts.is_empty());
         let Some(limits) = self.limits.as_mut().filter(|l| tried && l.left[0] == Some(0)) else { return };
