Fleet: a share given up counts by its question; what is left over goes round as a cushion

Need: a late word that a share was given up took away the vote that its sender had been given since; seen by reading, found by the model check once it may release. And thin routers refused below the limit: at 300 processes asked 600 a second under a limit of 1200, 393 a second were served.

Change: releases carry the question's number; an account that is opened again counts its questions on. The dealer gives what is left over to all with requests, a part of it a round; the module's reserve by worth counts only while there is none. The status tells spent, refused and the next lapse.

Model checks of releases pass, and find the old text out.

--- a/crates/fleet/src/account.rs
+++ b/crates/fleet/src/account.rs
@@ -29,6 +29,8 @@
 const QUIET_PER_S: f64 = 0.02;
 /// What another wants counts for so many periods after it said so.
 const WANTS_FOR: f64 = 5.0;
+/// Requests at once that a router is given beyond what it wants, at most, while nobody goes without for it.
+const CUSHION: f64 = 4.0;
 /// A router that asks for nothing speaks up once in so many rounds.
 pub const IDLE_ROUNDS: u64 = 3;
 /// Places wanted beyond those in use and those that were missing.
@@ -70,10 +72,17 @@
     question: Option<(Tag, Question)>,
     /// Where this router deals out: what it may use itself, so that others get their part.
     fair: Option<u64>,
+    /// Units that each router with requests may have beyond what it wants, as the dealer has it: nothing
+    /// while some go without.
+    cushion: u64,
     demand: Demand,
     tokens: Option<Tokens>,
     places: Places,
     rounds: u64,
+    /// Where questions to others begin.
+    first: u32,
+    /// Admitted and refused since the start.
+    counts: (u64, u64),
 }
 
 /// What an operator is told of an account.
@@ -95,6 +104,12 @@
     pub want: u64,
     /// Places in use.
     pub in_use: u64,
+    /// Requests admitted, or places taken, since the start.
+    pub spent: u64,
+    /// Requests refused, or places missed, since the start.
+    pub refused: u64,
+    /// When something that is held or lent lapses next, if nothing is done.
+    pub lapses: Option<Time>,
 }
 
 impl Account {
@@ -119,10 +134,13 @@
             wants: BTreeMap::new(),
             question: None,
             fair: None,
+            cushion: 0,
             demand: Demand::default(),
             tokens,
             places: Places::default(),
             rounds: 0,
+            first: 0,
+            counts: (0, 0),
         }
     }
 
@@ -131,6 +149,12 @@
         Account { standing: true, ..self }
     }
 
+    /// Its questions count from a number that an earlier account of this key in this life can't have reached:
+    /// one goes out a round, a hundred a second are allowed for.
+    pub fn counting_from(self, life: Time) -> Account {
+        Account { first: (life.0 / 10_000_000) as u32, ..self }
+    }
+
     /// What it is the account of.
     pub fn key(&self) -> Key {
         self.key
@@ -216,7 +240,10 @@
         self.demand.asked += 1;
         let (floor, beyond) = (self.floor(now), self.beyond(now));
         let Some(tokens) = &self.tokens else { return (1.0, Time(0)) };
-        (tokens.open(), tokens.back(floor, beyond))
+        // While all get what they want and more, few tokens are no sign of a want.
+        let scarce = tokens.worth(self.cushion) < 0.5;
+        let open = if tokens.open() > 0.0 && !scarce { 1.0 } else { tokens.open() };
+        (open, tokens.back(floor, beyond))
     }
 
     /// A token was wanted that was not there.
@@ -240,11 +267,13 @@
 
     /// A request is refused.
     pub fn refused(&mut self) {
+        self.counts.1 += 1;
         self.tokens.iter_mut().for_each(Tokens::refuse);
     }
 
     /// A request is admitted.
     pub fn spend(&mut self) {
+        self.counts.0 += 1;
         self.tokens.iter_mut().for_each(Tokens::spend);
     }
 
@@ -256,6 +285,7 @@
 
     /// A place is taken, until a time at the latest.
     pub fn take(&mut self, number: u64, until: Time) {
+        self.counts.0 += 1;
         self.places.take(number, until, &mut self.ledger);
         self.demand.places.0 = self.demand.places.0.max(self.places.len() as u64);
     }
@@ -267,6 +297,7 @@
 
     /// A place was missing.
     pub fn missed(&mut self) {
+        self.counts.1 += 1;
         self.demand.places.0 = self.demand.places.0.max(self.places.len() as u64) + 1;
     }
 
@@ -280,10 +311,11 @@
                 if rate < QUIET_PER_S && !self.standing {
                     return 0;
                 }
+                let cushion = if rate < QUIET_PER_S { 0 } else { self.cushion };
                 let rate = rate * (NO_TOKENS - ALL_TOKENS * level);
                 // What a burst takes to hold one request at all is the least that is of use.
                 let least = (UNITS as f64 / burst).ceil() as u64;
-                ((rate / per_s * UNITS as f64) as u64).max(least).min(UNITS)
+                (((rate / per_s * UNITS as f64) as u64).max(least) + cushion).min(UNITS)
             }
             Bounds::AtOnce(most) => {
                 let peak = self.demand.places.0.max(self.demand.places.1);
@@ -308,8 +340,9 @@
         self.wants.retain(|_, (_, at)| now.since(*at) < self.times.period.times(WANTS_FOR));
         if dealer == me {
             let own = self.reserved(now);
-            let fair = own + self.fair_part(now, want - own);
-            self.fair = (!self.wants.is_empty()).then_some(fair);
+            let (part, left) = self.fair_part(now, want - own);
+            self.fair = (!self.wants.is_empty()).then_some(own + part);
+            self.deal_cushion(left);
             return None;
         }
         self.fair = None;
@@ -325,12 +358,24 @@
             return None;
         }
         let spare = self.spare(now, dealer, own.saturating_sub(want));
-        let line = self.borrowed.entry(dealer).or_default();
+        let first = self.first;
+        let line = self.borrowed.entry(dealer).or_insert_with(|| Borrowed::counting_from(first));
         // What the dealer has cut is given back at once, or it would stay out for its span.
         let Question { number, keep } = line.ask(now, more.min(line.answer()), &mut self.ledger);
         Some(Report { key: self.key, number, keep, want: more, spare })
     }
 
+    /// Where this router deals out: what is left over goes to all with requests, a part of it a round; when
+    /// some go without, what was given beyond wants is soon back.
+    fn deal_cushion(&mut self, left: Option<u64>) {
+        let Bounds::Rate { burst, .. } = self.bounds else { return };
+        let most = (UNITS as f64 / burst * CUSHION) as u64;
+        self.cushion = match left {
+            None => self.cushion / 2,
+            Some(left) => (self.cushion + left / (2 * (self.lent.len() as u64 + 1))).min(most),
+        };
+    }
+
     /// What this router has borrowed from others than the dealer and does not need: it goes back at once. A
     /// router that dealt out until now holds many deposits.
     pub fn returns(&mut self, now: Time, dealer: Tag) -> Vec<(Tag, Question)> {
@@ -378,12 +423,14 @@
         if let Some(line) = self.borrowed.get_mut(&dealer) {
             line.answered(reply.number, reply.units, self.times.grant, &mut self.ledger);
         }
+        self.cushion = reply.cushion;
         self.question = Some((dealer, Question { number: reply.question.0, keep: reply.question.1 }));
     }
 
     /// A report has come to this router, which deals out by its sender's view.
     pub fn reported(&mut self, now: Time, from: Tag, report: &Report) -> Option<Reply> {
-        let deposit = self.borrowed.entry(from).or_default();
+        let first = self.first;
+        let deposit = self.borrowed.entry(from).or_insert_with(|| Borrowed::counting_from(first));
         if let Some((number, units)) = report.spare {
             deposit.answered(number, units, self.times.deposit, &mut self.ledger);
         }
@@ -397,7 +444,7 @@
                 if report.want > 0 {
                     self.wants.insert(from, (report.want, now));
                 }
-                let fair = self.fair_part(now, report.want);
+                let fair = self.fair_part(now, report.want).0;
                 let until = now.plus(self.times.lender(self.times.grant));
                 let ending = self.ending(now);
                 let line = self.lent.entry(from).or_default();
@@ -409,11 +456,12 @@
         };
         // Of a deposit that has become smaller, what is not lent on goes back.
         let free = self.ledger.least(now, now.plus(self.times.grant)).max(0) as u64;
-        let line = self.borrowed.entry(from).or_default();
+        let line = self.borrowed.entry(from).or_insert_with(|| Borrowed::counting_from(first));
         let there = line.units(now);
         let keep = there - there.saturating_sub(line.answer()).min(free);
         let Question { number, keep } = line.ask(now, keep, &mut self.ledger);
-        Some(Reply { key: self.key, number: report.number, units, question: (number, keep) })
+        let question = (number, keep);
+        Some(Reply { key: self.key, number: report.number, units, question, cushion: self.cushion })
     }
 
     /// Units of the shares held here that this router needs itself.
@@ -423,8 +471,9 @@
     }
 
     /// What one who wants so much beyond its own gets, where this router deals out: all get what they
-    /// want up to one level, at which what there is to spare is given away.
-    fn fair_part(&self, now: Time, want: u64) -> u64 {
+    /// want up to one level, at which what there is to spare is given away. And what is left over, unless
+    /// some go without.
+    fn fair_part(&self, now: Time, want: u64) -> (u64, Option<u64>) {
         let until = now.plus(self.times.lender(self.times.grant));
         let out: u64 = self.lent.values().map(|l| l.units(now)).sum();
         let own = self.reserved(now);
@@ -437,12 +486,12 @@
         let mut count = wants.len() as u64;
         for wanted in wants {
             let level = left / count;
-            if wanted >= level {
-                return want.min(level);
+            if wanted > level {
+                return (want.min(level), None);
             }
             (left, count) = (left - wanted, count - 1);
         }
-        want
+        (want, Some(left))
     }
 
     /// A router has started again, or is off the list. What it had been lent lapses in the ledger; its
@@ -464,6 +513,9 @@
             held: self.held(now),
             want: self.want(),
             in_use: self.places.len() as u64,
+            spent: self.counts.0,
+            refused: self.counts.1,
+            lapses: self.ledger.next(),
         }
     }
 
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -94,6 +94,8 @@
     started: Time,
     swim: Swim,
     voter: Voter,
+    /// Names whose shares were asked about, and whether this router watches over them.
+    guards: BTreeMap<Tag, bool>,
     claims: BTreeMap<Tag, Claim>,
     accounts: BTreeMap<Key, Account>,
     /// Accounts opened by a change of the settings hold no shares before their time.
@@ -103,6 +105,8 @@
     say: BTreeMap<Tag, Vec<Message>>,
     next_round: Time,
     rounds: u64,
+    /// Questions for votes, over all shares and claims of this life.
+    questions: u32,
     /// Rises whenever who is alive changes: until then dealers and the lost stay who they are.
     epoch: u64,
     dealers: BTreeMap<Key, (u64, Tag)>,
@@ -121,6 +125,7 @@
             started: now,
             swim: Swim::new(now, me, life, &plan.names, seed ^ me.0),
             voter: Voter::new(now, &plan.times),
+            guards: BTreeMap::new(),
             claims: BTreeMap::new(),
             accounts: BTreeMap::new(),
             opens: BTreeMap::new(),
@@ -130,6 +135,7 @@
             // Rounds of different routers fall at different times.
             next_round: now.plus(plan.times.period.times((mix(seed ^ me.0) % 1000) as f64 / 1000.0)),
             rounds: 0,
+            questions: 0,
             epoch: 0,
             dealers: BTreeMap::new(),
             scanned: None,
@@ -178,6 +184,7 @@
                     let before = self.started == now || self.opens.contains_key(&key);
                     let settled = if before { now.plus(self.plan.settle) } else { now };
                     let account = account_of(now, &self.plan, limit, key, self.me, settled);
+                    let account = account.counting_from(now.since(self.started));
                     self.accounts.insert(key, account);
                 }
             }
@@ -212,6 +219,7 @@
         let lapsed = now.plus(self.plan.times.lender(self.plan.times.deposit).max(self.plan.settle));
         let old = std::mem::replace(&mut self.plan, plan);
         self.epoch += 1;
+        self.guards.clear();
         self.digest = self.plan.digest();
         if old.names != self.plan.names {
             self.swim.list(now, &self.plan.names);
@@ -329,7 +337,7 @@
                     out.push(Effect::Say(format!("fleet: a later life {life} of this router is known")));
                     self.swim.live_after(*life);
                 }
-                Message::Claim(..) | Message::Vote(..) | Message::Taken(..) | Message::Release(_) => {
+                Message::Claim(..) | Message::Vote(..) | Message::Taken(..) | Message::Release(..) => {
                     if !names {
                         self.of_shares(now, Life { router: from, life: packet.life }, message, out);
                     }
@@ -378,6 +386,7 @@
             }
             let settled = self.started.plus(self.plan.settle);
             let account = account_of(now, &self.plan, limit, key, self.me, settled);
+            let account = account.counting_from(now.since(self.started));
             self.accounts.insert(key, account);
         }
         let account = self.accounts.get_mut(&key)?;
@@ -389,10 +398,14 @@
     fn of_shares(&mut self, now: Time, from: Life, message: &Message, out: &mut Vec<Effect>) {
         match message {
             Message::Claim(slot, number) => {
-                if !self.plan.names.guardians(*slot).contains(&self.me) {
+                let (names, me) = (&self.plan.names, self.me);
+                if names.get(*slot).is_none() {
                     return;
                 }
-                let answer = match self.voter.asked(now, &self.plan.times, *slot, from) {
+                if !*self.guards.entry(*slot).or_insert_with(|| names.guardians(*slot).contains(&me)) {
+                    return;
+                }
+                let answer = match self.voter.asked(now, &self.plan.times, *slot, from, *number) {
                     Ok(()) => Message::Vote(*slot, *number),
                     Err(by) => Message::Taken(*slot, by.map(|l| (l.router, l.life))),
                 };
@@ -406,7 +419,7 @@
                     self.held(now, *slot, before, out);
                 }
             }
-            Message::Release(slot) => self.voter.released(*slot, from),
+            Message::Release(slot, number) => self.voter.released(*slot, from, *number),
             _ => {}
         }
     }
@@ -536,8 +549,10 @@
             if !again {
                 continue;
             }
-            let number = claim.ask(now);
-            if self.voter.asked(now, &self.plan.times, *slot, me).is_ok() {
+            self.questions += 1;
+            let number = self.questions;
+            claim.ask(now, number);
+            if self.voter.asked(now, &self.plan.times, *slot, me, number).is_ok() {
                 claim.given(self.me, number, &self.plan.times);
             }
             for guardian in claim.guardians().iter().filter(|g| **g != self.me) {
@@ -555,9 +570,9 @@
         }
         self.accounts.values_mut().for_each(|a| a.give_up(slot));
         for guardian in claim.guardians().iter().filter(|g| **g != self.me) {
-            self.say.entry(*guardian).or_default().push(Message::Release(slot));
+            self.say.entry(*guardian).or_default().push(Message::Release(slot, claim.number()));
         }
-        self.voter.released(slot, Life { router: self.me, life: self.swim.life() });
+        self.voter.released(slot, Life { router: self.me, life: self.swim.life() }, claim.number());
         self.claims.remove(&slot).is_some()
     }
 
@@ -758,14 +773,16 @@
             let member = self.members.iter().find(|m| key.member != 0 && Key::at(name, m) == *key);
             let at = member.map(|m| format!(" at {m}")).unwrap_or_default();
             let f = account.figures(now);
+            let lapsing = f.lapses.map(|at| format!(" next lapse in {:.1} s", at.since(now).secs()));
+            let lapses = lapsing.unwrap_or_default();
             let why = match self.opens.get(key) {
                 Some(at) => format!(" withheld: it has changed, and counts in {:.1} s", at.since(now).secs()),
                 None => String::new(),
             };
             lines.push(format!(
-                "limit {name}{at} of {} held {} floor {} shares {} borrowed {} lent {} want {} in use \
-                 {}{why}",
-                f.of, f.held, f.floor, f.shares, f.borrowed, f.lent, f.want, f.in_use
+                "limit {name}{at} of {} held {} floor {} shares {} borrowed {} lent {} want {} in use {} \
+                 spent {} refused {}{lapses}{why}",
+                f.of, f.held, f.floor, f.shares, f.borrowed, f.lent, f.want, f.in_use, f.spent, f.refused
             ));
         }
         let c = &self.counts;
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -25,7 +25,16 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Voter {
     quiet_until: Time,
-    votes: BTreeMap<Tag, (Life, Time)>,
+    votes: BTreeMap<Tag, Given>,
+}
+
+/// A vote that has been given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Given {
+    to: Life,
+    until: Time,
+    /// Of the newest question that it answers.
+    number: u32,
 }
 
 impl Voter {
@@ -35,34 +44,42 @@
     }
 
     /// A router asks for this guardian's vote on a share. If it can't have it, who has it.
-    pub fn asked(&mut self, now: Time, times: &Times, slot: Tag, by: Life) -> Result<(), Option<Life>> {
+    pub fn asked(
+        &mut self,
+        now: Time,
+        times: &Times,
+        slot: Tag,
+        by: Life,
+        number: u32,
+    ) -> Result<(), Option<Life>> {
         if now < self.quiet_until {
             return Err(None);
         }
-        match self.votes.get(&slot) {
-            Some((holder, until)) if *holder != by && now < *until => Err(Some(*holder)),
-            _ => {
-                self.votes.insert(slot, (by, now.plus(times.lender(times.lease))));
-                Ok(())
-            }
+        let given = self.votes.get(&slot).filter(|g| now < g.until);
+        if let Some(other) = given.filter(|g| g.to != by) {
+            return Err(Some(other.to));
         }
+        let number = given.map_or(number, |g| g.number.max(number));
+        self.votes.insert(slot, Given { to: by, until: now.plus(times.lender(times.lease)), number });
+        Ok(())
     }
 
-    /// A holder gives a share up, and uses it no longer.
-    pub fn released(&mut self, slot: Tag, by: Life) {
-        if self.votes.get(&slot).is_some_and(|(holder, _)| *holder == by) {
+    /// A holder has given a share up, and uses no vote that answers its questions up to this one. A word that
+    /// comes late, after a newer question, says nothing of the vote that this has had.
+    pub fn released(&mut self, slot: Tag, by: Life, number: u32) {
+        if self.votes.get(&slot).is_some_and(|g| g.to == by && g.number <= number) {
             self.votes.remove(&slot);
         }
     }
 
     /// Forgets votes that have lapsed.
     pub fn lapse(&mut self, now: Time) {
-        self.votes.retain(|_, (_, until)| now < *until);
+        self.votes.retain(|_, given| now < given.until);
     }
 
     /// Who has this guardian's vote on a share.
     pub fn holder(&self, slot: Tag) -> Option<Life> {
-        self.votes.get(&slot).map(|v| v.0)
+        self.votes.get(&slot).map(|given| given.to)
     }
 }
 
@@ -85,13 +102,18 @@
         Claim { guardians, ..Claim::default() }
     }
 
-    /// Asks all guardians again; the question's number.
-    pub fn ask(&mut self, now: Time) -> u32 {
-        self.number += 1;
-        self.asked.push_back((self.number, now));
+    /// Asks all guardians again, by a number that this life has not used for this share before and that is
+    /// larger than all it has.
+    pub fn ask(&mut self, now: Time, number: u32) {
+        self.number = number;
+        self.asked.push_back((number, now));
         if self.asked.len() > QUESTIONS {
             self.asked.pop_front();
         }
+    }
+
+    /// The number of the newest question.
+    pub fn number(&self) -> u32 {
         self.number
     }
 
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// When something goes or comes back next.
+    pub fn next(&self) -> Option<Time> {
+        self.goes.first_key_value().map(|(tick, _)| Time(tick * TICK))
+    }
+
     /// Whether nothing is written down.
     pub fn is_empty(&self) -> bool {
         self.goes.is_empty()
--- a/crates/fleet/src/loan.rs
+++ b/crates/fleet/src/loan.rs
@@ -86,6 +86,11 @@
 }
 
 impl Borrowed {
+    /// A line whose questions count from a number on.
+    pub fn counting_from(number: u32) -> Borrowed {
+        Borrowed { number, ..Borrowed::default() }
+    }
+
     /// Asks anew and keeps no more than `keep` of what is there. What is given up leaves the ledger.
     pub fn ask(&mut self, now: Time, keep: u64, ledger: &mut Ledger) -> Question {
         self.change(ledger, |there| {
--- a/crates/fleet/src/meter.rs
+++ b/crates/fleet/src/meter.rs
@@ -62,6 +62,11 @@
         }
     }
 
+    /// How many tokens so many units allow at once.
+    pub fn worth(&self, units: u64) -> f64 {
+        units as f64 / UNITS as f64 * self.burst
+    }
+
     /// Whole tokens that are there.
     pub fn whole(&self) -> u32 {
         self.tokens.max(0.0) as u32
--- a/crates/fleet/src/packet.rs
+++ b/crates/fleet/src/packet.rs
@@ -65,8 +65,8 @@
     Vote(Tag, u32),
     /// It is not given, as this life of a router has it, if any.
     Taken(Tag, Option<(Tag, u64)>),
-    /// The sender no longer uses a name's share.
-    Release(Tag),
+    /// The sender no longer uses a name's share, nor any vote for it up to its question of this number.
+    Release(Tag, u32),
     /// To the one who deals a limit's rights out.
     Report(Report),
     /// From that one.
@@ -102,6 +102,8 @@
     pub units: u64,
     /// The question for what can be spared: its number, and units kept of the loan before.
     pub question: (u32, u64),
+    /// Units that each router with requests may have beyond what it wants.
+    pub cushion: u64,
 }
 
 /// A packet.
--- a/crates/fleet/tests/limits.rs
+++ b/crates/fleet/tests/limits.rs
@@ -79,6 +79,23 @@
     assert!(used >= 0.95, "{used} of the rate is used");
 }
 
+#[test]
+fn below_the_limit_next_to_nothing_is_refused_also_where_traffic_is_thin() {
+    for (routers, of_limit, most) in [(24, 0.7, 0.02), (100, 0.5, 0.03)] {
+        let mut model = fleet(routers, 20);
+        let unit = of_limit * PER_S / (routers as f64 / 2.0 * 11.0);
+        (0..routers).for_each(|n| model.demand(n, if n % 2 == 0 { 10.0 * unit } else { unit }, 0.0));
+        model.run(s(9.0));
+        let (demanded, had) = (model.seen.demanded, model.seen.admitted.len());
+        model.run(s(19.0));
+        let share = (model.seen.admitted.len() - had) as f64 / (model.seen.demanded - demanded) as f64;
+        assert!(
+            share >= 1.0 - most,
+            "{routers} routers: {share} of what is asked below the limit is admitted"
+        );
+    }
+}
+
 #[test]
 fn one_router_with_most_of_the_traffic_gets_what_the_others_do_not_need() {
     let mut model = fleet(24, 2);
@@ -323,6 +340,7 @@
     model.run(s(30.0));
     assert_kept(&model);
     assert!(used(&model, 20.0, 30.0) >= 0.95);
+    assert!(model.seen.said.iter().any(|(_, _, line)| line.contains("another list of names")));
     let ninth = model.seen.admitted.iter().filter(|(at, n)| *n == 8 && *at > s(20.0)).count();
     assert!(ninth > 200, "{ninth} by the new name");
 }
--- a/crates/fleet/tests/model.rs
+++ b/crates/fleet/tests/model.rs
@@ -216,6 +216,7 @@
 enum Vote {
     Claim(usize, u32),
     Given(usize, usize, u32),
+    Release(usize, u32),
 }
 
 /// Three guardians; the first two want the share.
@@ -234,6 +235,7 @@
 enum ShareStep {
     Time([usize; 3]),
     Claim(usize),
+    Release(usize),
     Arrives(usize, bool),
     Lost(usize),
     Crash(usize),
@@ -244,8 +246,19 @@
     claims: u32,
     crashes: u32,
     net: usize,
-    /// A guardian that starts gives its vote at once: the checker has to notice.
-    hasty: bool,
+    /// Shares may be given up.
+    releases: bool,
+    /// The checker has to notice.
+    mistake: Mistake,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Mistake {
+    None,
+    /// A guardian that starts gives its vote at once.
+    Hasty,
+    /// A word that a share is given up counts whenever it comes.
+    Late,
 }
 
 const SLOT: Tag = Tag(1);
@@ -256,9 +269,9 @@
 
 impl ShareModel {
     fn voter(&self, now: Time) -> Voter {
-        match self.hasty {
-            true => Voter::default(),
-            false => Voter::new(now, &times()),
+        match self.mistake {
+            Mistake::Hasty => Voter::default(),
+            _ => Voter::new(now, &times()),
         }
     }
 }
@@ -284,6 +297,12 @@
                 actions.push(ShareStep::Claim(n));
             }
         }
+        for n in (0..2).filter(|_| self.releases) {
+            let held = state.claims[n].until() > state.now[n];
+            if held && state.net.len() + 2 <= self.net {
+                actions.push(ShareStep::Release(n));
+            }
+        }
         for n in 0..state.net.len() {
             actions.push(ShareStep::Arrives(n, false));
             if state.net.len() < self.net {
@@ -310,14 +329,24 @@
             }
             ShareStep::Claim(n) => {
                 state.asked[n] += 1;
-                let number = state.claims[n].ask(state.now[n]);
-                if state.voters[n].asked(state.now[n], &times, SLOT, holder(n)).is_ok() {
+                let number = state.asked[n];
+                state.claims[n].ask(state.now[n], number);
+                if state.voters[n].asked(state.now[n], &times, SLOT, holder(n), number).is_ok() {
                     state.claims[n].given(Tag(n as u64 + 1), number, &times);
                 }
                 for to in (0..3).filter(|to| *to != n) {
                     state.net.push((to, Vote::Claim(n, number)));
                 }
             }
+            ShareStep::Release(n) => {
+                let number = state.claims[n].number();
+                state.claims[n] = Claim::new((1..=3).map(Tag).collect());
+                state.voters[n].released(SLOT, holder(n), number);
+                let number = if self.mistake == Mistake::Late { u32::MAX } else { number };
+                for to in (0..3).filter(|to| *to != n) {
+                    state.net.push((to, Vote::Release(n, number)));
+                }
+            }
             ShareStep::Arrives(at, again) => {
                 let (to, word) = state.net.remove(at);
                 if again {
@@ -325,10 +354,11 @@
                 }
                 match word {
                     Vote::Claim(n, number) => {
-                        if state.voters[to].asked(state.now[to], &times, SLOT, holder(n)).is_ok() {
+                        if state.voters[to].asked(state.now[to], &times, SLOT, holder(n), number).is_ok() {
                             state.net.push((n, Vote::Given(n, to, number)));
                         }
                     }
+                    Vote::Release(n, number) => state.voters[to].released(SLOT, holder(n), number),
                     Vote::Given(n, by, number) => state.claims[n].given(Tag(by as u64 + 1), number, &times),
                 }
             }
@@ -349,14 +379,14 @@
         vec![
             Property::always("one holder at a time", |_: &ShareModel, s: &Share| !(held(s, 0) && held(s, 1))),
             Property::sometimes("the second holds it after the first", |_: &ShareModel, s: &Share| {
-                held(s, 1) && s.claims[0].until() > Time(0)
+                held(s, 1) && s.asked[0] > 0
             }),
         ]
     }
 }
 
-fn shares(steps: u32, crashes: u32) {
-    let model = ShareModel { steps, claims: 1, crashes, net: 2, hasty: false };
+fn shares(steps: u32, claims: u32, crashes: u32, releases: bool) {
+    let model = ShareModel { steps, claims, crashes, net: 2, releases, mistake: Mistake::None };
     let checker = model.checker().threads(4).spawn_bfs().join();
     println!("shares: {} states", checker.unique_state_count());
     checker.assert_properties();
@@ -365,18 +395,34 @@
 
 #[test]
 fn a_share_has_one_holder_at_a_time() {
-    shares(4, 0);
+    shares(4, 1, 0, false);
+}
+
+#[test]
+fn a_share_that_is_given_up_and_claimed_again_has_one_holder_at_a_time() {
+    shares(1, 2, 0, true);
 }
 
 #[test]
 #[ignore = "takes half a minute and some GiB; run it when crates/fleet/src/lease.rs changes"]
 fn a_share_has_one_holder_at_a_time_though_a_guardian_crashes() {
-    shares(4, 1);
+    shares(4, 1, 1, false);
+}
+
+fn found_out(mistake: Mistake, releases: bool) -> bool {
+    let claims = if releases { 2 } else { 1 };
+    let model =
+        ShareModel { steps: if releases { 1 } else { 3 }, claims, crashes: 1, net: 4, releases, mistake };
+    let checker = model.checker().threads(4).spawn_bfs().join();
+    checker.discovery("one holder at a time").is_some()
 }
 
 #[test]
 fn a_guardian_that_forgets_its_votes_is_found_out() {
-    let model = ShareModel { steps: 3, claims: 1, crashes: 1, net: 2, hasty: true };
-    let checker = model.checker().threads(4).spawn_bfs().join();
-    assert!(checker.discovery("one holder at a time").is_some());
+    assert!(found_out(Mistake::Hasty, false));
+}
+
+#[test]
+fn a_late_word_that_a_share_was_given_up_is_found_out() {
+    assert!(found_out(Mistake::Late, true));
 }
--- a/crates/router/tests/fleet.rs
+++ b/crates/router/tests/fleet.rs
@@ -263,3 +263,29 @@
     assert!(most <= 0.0, "{most} connects over");
     assert!(served > 400 && refused > 200, "{served} served, {refused} refused");
 }
+
+/// Inodes of a process's UDP sockets, and names of its threads.
+fn process(id: u32) -> (usize, Vec<String>) {
+    let udp = std::fs::read_to_string(format!("/proc/{id}/net/udp")).unwrap_or_default();
+    let bound: Vec<&str> = udp.lines().skip(1).filter_map(|l| l.split_whitespace().nth(9)).collect();
+    let fds = std::fs::read_dir(format!("/proc/{id}/fd")).expect("descriptors").flatten();
+    let links = fds.filter_map(|fd| std::fs::read_link(fd.path()).ok());
+    let inode = |link: std::path::PathBuf| {
+        Some(link.to_str()?.strip_prefix("socket:[")?.strip_suffix(']')?.to_string())
+    };
+    let sockets: std::collections::BTreeSet<String> =
+        links.filter_map(inode).filter(|inode| bound.contains(&inode.as_str())).collect();
+    let tasks = std::fs::read_dir(format!("/proc/{id}/task")).expect("threads").flatten();
+    let names = tasks.filter_map(|t| std::fs::read_to_string(t.path().join("comm")).ok());
+    (sockets.len(), names.map(|n| n.trim().to_string()).collect())
+}
+
+#[test]
+fn without_a_fleet_there_is_no_socket_and_no_thread_for_it() {
+    let on = rig(1, RATE, 0);
+    let off = rig_of(Setup { limits: None, ..setup(1, "") });
+    let (with, without) = (process(on.routers[0].id()), process(off.routers[0].id()));
+    assert!(with.0 == 1 && with.1.iter().any(|n| n == "fleet"), "{with:?}");
+    assert!(without.0 == 0 && !without.1.iter().any(|n| n == "fleet"), "{without:?}");
+    assert_eq!(without.1.len() + 1, with.1.len());
+}
