Tests of private parts stand in files of their own

Need: tests belong in test files, beside the private part that they look at or in tests/.

Change: moved word for word to x/tests.rs; nothing else.

--- /dev/null
+++ b/crates/fleet/src/seal/tests.rs
@@ -0,0 +1,53 @@
+use super::*;
+use crate::packet::Operator;
+use basalthill_policy::api::Time;
+use basalthill_session::token::{Key, KeyId};
+
+fn key(id: u8) -> Key {
+    Key::new(KeyId(id), vec![id; 16]).expect("a key")
+}
+
+fn seal(signing: u8, verifying: &[u8]) -> Seal {
+    let verifying = verifying.iter().map(|id| key(*id)).collect();
+    Seal::new(Keys { signing: key(signing), verifying, max_age: Time(0) })
+}
+
+#[test]
+fn keys_rotate_one_by_one_without_a_moment_of_silence() {
+    let content = Content::Operator(Operator::Ask(1, 0, vec![0; 9]));
+    // The old key, the new one known, the new one signing, the old one gone.
+    let steps = [seal(1, &[]), seal(1, &[2]), seal(2, &[1]), seal(2, &[])];
+    for pair in steps.windows(2) {
+        for (from, to) in [(&pair[0], &pair[1]), (&pair[1], &pair[0])] {
+            assert_eq!(to.open(&from.close(&content)), Ok(content.clone()));
+        }
+    }
+    assert_eq!(steps[3].open(&steps[0].close(&content)), Err(Dropped::UnknownKey));
+    // A key of the same number with another secret.
+    let mut other = steps[0].close(&content);
+    other[1] = 2;
+    assert_eq!(steps[3].open(&other), Err(Dropped::Forged));
+}
+
+#[test]
+fn no_byte_and_no_length_may_change() {
+    let content = Content::Operator(Operator::Ask(7, 3, vec![5; 30]));
+    let seal = seal(1, &[]);
+    let whole = seal.close(&content);
+    for n in 0..whole.len() {
+        let mut changed = whole.clone();
+        changed[n] ^= 0x40;
+        assert!(seal.open(&changed).is_err(), "byte {n}");
+        assert!(seal.open(&whole[..n]).is_err(), "cut at {n}");
+    }
+    assert!(seal.open(&[&whole[..], &[0]].concat()).is_err());
+    assert_eq!(seal.open(&vec![1; LONGEST + 1]), Err(Dropped::Malformed));
+}
+
+#[test]
+fn a_number_counts_once_and_old_ones_not_at_all() {
+    let mut window = Window::default();
+    assert!([1, 2, 5, 3, 70, 69, 7].into_iter().all(|n| window.take(n)));
+    assert!([1, 2, 5, 3, 70, 69, 7, 6, 0].into_iter().all(|n| !window.take(n)));
+    assert!(window.take(8) && window.take(1000) && !window.take(71));
+}
--- a/crates/router/src/transport/pool.rs
+++ b/crates/router/src/transport/pool.rs
@@ -95,40 +95,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::transport::budget::Budget;
-    use std::io::Write;
-    use std::net::TcpListener;
-
-    #[test]
-    fn a_connection_rests_and_one_that_has_brought_more_is_never_used_again() -> std::io::Result<()> {
-        let host = TcpListener::bind(("127.0.0.1", 0))?;
-        let addr = host.local_addr()?;
-        let budget = Budget::new(9);
-        let connected = || -> std::io::Result<(HostConnection, TcpStream)> {
-            let (near, far) = (TcpStream::connect(addr)?, host.accept()?.0);
-            let permit = budget.take().expect("a descriptor");
-            Ok((
-                HostConnection { stream: Async::new(near)?, side: HostSide::default(), _permit: permit },
-                far,
-            ))
-        };
-        let (day, zero) = (Duration::from_secs(86_400), Duration::ZERO);
-        let resting = Pool::new(day, day);
-        let (one, _far) = connected()?;
-        resting.put(addr, one);
-        assert!(matches!(resting.take(addr), Taken::Resting(left) if left > zero));
-        let rested = Pool::new(zero, day);
-        let ((one, mut far), (two, _far_of_two)) = (connected()?, connected()?);
-        far.write_all(b"D")?;
-        far.flush()?;
-        async_io::block_on(one.stream.readable())?;
-        rested.put(addr, two);
-        rested.put(addr, one);
-        assert!(matches!(rested.take(addr), Taken::Ready(_)));
-        assert!(matches!(rested.take(addr), Taken::Nothing), "the one that has brought more is closed");
-        assert_eq!(budget.left(), 8);
-        Ok(())
-    }
-}
+mod tests;
