Repeats of keyed requests end with their window, late connections included

Need: settings may give a window for repeats that is shorter than an attempt. Found by reading `legal` and `send`: a repeat was allowed up to the last moment of the window, and then given all of its client's time. Where its connection came up late, or its member took it up late, it ran after the first attempt had been forgotten: a second effect.

Change: a repeat's limit is what the window leaves, counted from the earliest moment at which an attempt may have run; it is written and told to its member with that time, and given up by then. With less left than its class takes none is sent. A keyed request that may have run is refused only if a client that follows the longest come-back time still meets the window, else it is failed. Covers late connects, full queues and clients that come again late; harms where a member would have answered a repeat past the window from its memory all the same.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -153,6 +153,11 @@
     fn may_have_run(&self) -> Option<&Try> {
         self.tries.iter().find(|t| t.status.is_none_or(|s| !s.proves_unrun()))
     }
+    /// What a window, counted from the first attempt that may have run, leaves of itself: all of time if none
+    /// may have run.
+    fn window_left(&self, now: Time, window: Time) -> Time {
+        self.may_have_run().map_or(Time(u64::MAX), |first| first.sent.plus(window).since(now))
+    }
 }
 
 /// 1 for what only the primary takes, else 0.
@@ -402,8 +407,7 @@
             // All attempts are in one group, so the key's scope can only end at a zone's border.
             let zone = self.members.get(&first.member).map(|f| f.zone);
             let near = class.scope != KeyScope::Zone || zone == Some(m.zone);
-            let in_window = self.now.plus(self.set.tick).since(first.sent) < class.window;
-            if class.effect == Effect::Unsafe || (class.effect == Effect::Keyed && !(near && in_window)) {
+            if class.effect != Effect::Safe && !(near && self.repeatable(job)) {
                 return false;
             }
         }
@@ -412,6 +416,13 @@
         !stale && (self.warmth(m) >= 1.0 || self.credit(m) >= 0.0 || drawn())
     }
 
+    /// Whether a keyed request's window leaves a repeat about the time that it takes.
+    fn repeatable(&self, job: &Job) -> bool {
+        let class = &self.set.classes[job.c];
+        let left = job.window_left(self.now.plus(self.set.tick), class.window);
+        class.effect == Effect::Keyed && left.secs() > self.base[job.c]
+    }
+
     /// The part of what it is asked for in a cold member's group that one of many routers sends there: one
     /// that meets a group every few seconds can't save up. Parts add up as rates do. The group is taken to
     /// ask for as much as others, or more if it does so here, and all of it to come to this member.
@@ -454,8 +465,11 @@
     fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id).filter(|j| j.out() == 0) else { return };
         let class = &self.set.classes[job.c];
-        let everywhere = class.effect == Effect::Keyed && class.scope == KeyScope::All;
-        let harmless = class.effect == Effect::Safe || everywhere || job.may_have_run().is_none();
+        // A client that comes again when it is told to, or by itself, still has to meet the window.
+        let back = self.now.plus(self.set.max_retry_after);
+        let kept = class.effect == Effect::Keyed && class.scope == KeyScope::All;
+        let kept = |t: &Try| kept && back < t.sent.plus(class.window);
+        let harmless = class.effect == Effect::Safe || job.may_have_run().is_none_or(kept);
         let after = self.set.retry_after.then_some(self.set.max_retry_after);
         out.push(if harmless { Action::Refuse(id, after) } else { Action::Fail(id) });
         self.forget(id, out);
@@ -692,8 +706,7 @@
     /// Held only while an attempt may still be made and can still be answered in time.
     fn worth_holding(&self, job: &Job) -> bool {
         let (class, spent) = (&self.set.classes[job.c], self.spent(job));
-        let keyed = |t: &Try| class.effect == Effect::Keyed && self.now.since(t.sent) < class.window;
-        let again = class.effect == Effect::Safe || job.may_have_run().is_none_or(keyed);
+        let again = class.effect == Effect::Safe || job.may_have_run().is_none() || self.repeatable(job);
         let some = !spent && again && self.groups.contains_key(&job.req.group);
         let had = job.tries.iter().any(|t| t.status != Some(Status::ConnectFailed));
         let (soon, base) = (self.now.plus(SWEEP), Time((self.base[job.c] * HOLD_TIMES * 1e9) as u64));
@@ -707,6 +720,11 @@
         let (Some(job), Some(m)) = (self.jobs.get_mut(&id), self.members.get_mut(&member)) else { return };
         self.held.remove(&(group, id));
         let limit = job.req.give_up.since(now.plus(self.set.tick)).max(self.set.tick);
+        // A repeat that its member takes up after the window would be a second effect: it is given up by then.
+        let class = &self.set.classes[job.c];
+        let keyed = class.effect == Effect::Keyed;
+        let left = job.window_left(now.plus(self.set.tick), class.window);
+        let limit = if keyed { limit.min(left) } else { limit };
         self.left[0] = self.left[0].map(|n| n - u32::from(!job.tries.is_empty() && n > 0));
         job.tries.push(Try { member, sent: now, status: None, lost: false });
         (m.in_flight, m.credit) = (m.in_flight + 1, (credit - base, now));
--- /dev/null
+++ b/crates/policy/tests/cold.rs
@@ -0,0 +1,181 @@
+//! A cold member falls under the sum of what all routers send. Thirty of them, without talk, in simulated time,
+//! held against the budget that the settings allow and what may be put down to chance.
+
+mod common;
+
+use basalthill_policy::api::*;
+use basalthill_policy::Policy;
+use common::*;
+
+const ROUTERS: usize = 30;
+const GROUPS: u32 = 4;
+const COLD: MemberId = MemberId(7);
+const TOOK: Time = Time::ms(80);
+const STEP: u64 = 10;
+/// The member starts at this time, and is watched up to the end.
+const CHANGE: u64 = 120_000;
+const END: u64 = 130_000;
+/// Requests a second of all routers together.
+const RATE: f64 = 240.0;
+
+/// A seeded generator of the test's own.
+struct Dice(u64);
+
+impl Dice {
+    fn roll(&mut self) -> f64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        (self.0 >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
+struct Router {
+    policy: Policy,
+    /// It is there from this time on, in milliseconds.
+    from: u64,
+    /// Part of all requests that come to it.
+    part: f64,
+    /// Requests so far: their numbers start anew with each process.
+    asked: u64,
+    due: Vec<(Time, RequestId, MemberId)>,
+}
+
+fn members() -> Vec<Entry> {
+    (0..GROUPS).flat_map(|g| (0..3).map(move |n| entry(1 + 10 * g + n, g, n == 0))).collect()
+}
+
+/// How a fleet stands when the member starts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fleet {
+    /// All have been there for a while.
+    Settled,
+    /// Two in three have started with the member, and know nothing.
+    Restarted,
+}
+
+/// Plays a fleet; when the cold member was sent something, and what one warm replica took each second before.
+fn play(seed: u64, fleet: Fleet) -> (Vec<Time>, f64) {
+    let mut dice = Dice(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
+    let mut set = settings();
+    set.routers = ROUTERS as u32;
+    // Some get several times the mean, most less than it.
+    let parts: Vec<f64> = (0..ROUTERS).map(|_| -dice.roll().max(1e-9).ln()).collect();
+    let all: f64 = parts.iter().sum();
+    let start = CHANGE - if fleet == Fleet::Settled { 20_000 } else { 0 };
+    let mut routers: Vec<Router> = (0..ROUTERS)
+        .map(|n| {
+            let from = if fleet == Fleet::Restarted && n % 3 == 0 { CHANGE - 20_000 } else { start };
+            let policy = Policy::new(set.clone(), (dice.roll() * 1e15) as u64);
+            Router { policy, from, part: parts[n] / all, asked: 0, due: Vec::new() }
+        })
+        .collect();
+    let (mut to_cold, mut warm) = (Vec::new(), 0u32);
+    for ms in (CHANGE - 20_000..END).step_by(STEP as usize) {
+        let now = Time::ms(ms);
+        for router in routers.iter_mut().filter(|r| r.from <= ms) {
+            let mut events = Vec::new();
+            let mut list = members();
+            if ms >= CHANGE {
+                // It takes the place of its group's replicas: all of their reads want to go there.
+                list[1..3].iter_mut().for_each(|e| e.listed = Listed::Draining);
+                list.push(Entry { started: Some(Time::ms(CHANGE)), ..entry(COLD.0, 0, false) });
+            }
+            if ms == router.from {
+                events.push(Event::List(ListForm::Cached, list));
+            } else if ms == CHANGE {
+                events.push(Event::List(ListForm::Delta, list));
+            }
+            let due = std::mem::take(&mut router.due);
+            for (at, request, member) in due {
+                if at > now {
+                    router.due.push((at, request, member));
+                    continue;
+                }
+                let role = if member.0 % 10 == 1 { Role::Primary } else { Role::Replica };
+                let standing = Standing { position: Some(now), role: Some(role) };
+                events.push(Event::Outcome(Outcome {
+                    request,
+                    attempt: Attempt(0),
+                    member,
+                    status: Status::Ok,
+                    took: TOOK,
+                    ended: true,
+                    standing,
+                    report: Standing::default(),
+                }));
+            }
+            if dice.roll() < RATE * router.part * STEP as f64 / 1000.0 {
+                router.asked += 1;
+                events.push(Event::Request(Request {
+                    id: RequestId(router.asked - 1),
+                    class: BOUNDED,
+                    tenant: TenantId(0),
+                    give_up: now.plus(Time::ms(1500)),
+                    group: GroupId((dice.roll() * f64::from(GROUPS)) as u32),
+                    floor: Time(0),
+                    lead: Time(0),
+                    repeat: false,
+                }));
+            }
+            events.push(Event::Timer(0));
+            for event in events {
+                let mut out = Vec::new();
+                router.policy.handle(now, event, &mut out);
+                for action in out {
+                    match action {
+                        Action::Send(id, member, _) => {
+                            router.due.push((now.plus(TOOK), id, member));
+                            warm += u32::from(ms >= CHANGE && member.0 > 10 && member.0 % 10 != 1);
+                            to_cold.extend((member == COLD).then_some(now));
+                        }
+                        Action::Probe(member) => {
+                            // Answered in the next round at the latest; at once is soon enough here.
+                            let role = if member.0 % 10 == 1 { Role::Primary } else { Role::Replica };
+                            let report = Standing { position: Some(now), role: Some(role) };
+                            let probed = Event::Probed(member, Status::Ok, Time::ms(1), report);
+                            router.policy.handle(now, probed, &mut Vec::new());
+                        }
+                        _ => {}
+                    }
+                }
+            }
+        }
+    }
+    (to_cold, f64::from(warm) / f64::from((GROUPS - 1) * 2) / ((END - CHANGE) as f64 / 1000.0))
+}
+
+/// The most by which a window was over its budget, in units of what is put down to chance.
+fn worst(to_cold: &[Time], warm: f64, set: &Settings) -> f64 {
+    let over = to_cold.iter().map(|at| {
+        let sent = to_cold.iter().filter(|s| **s <= *at && at.since(**s) < set.fall).count() as f64;
+        let part = at.since(Time::ms(CHANGE)).secs() / set.warm_within.secs();
+        let warmth = (set.cold_from + (1.0 - set.cold_from) * part).min(1.0);
+        let budget = set.fall_multiple * warmth * warm * set.fall.secs();
+        (sent - budget) / (2.0 * budget.sqrt() + 2.0)
+    });
+    over.fold(f64::MIN, f64::max)
+}
+
+fn hold(fleet: Fleet) {
+    let set = settings();
+    let mut sent = 0;
+    for seed in 1..=100 {
+        let (to_cold, warm) = play(seed, fleet);
+        let over = worst(&to_cold, warm, &set);
+        assert!(over <= 1.0, "{fleet:?}, seed {seed}: {over:.2} times what chance may add");
+        sent += to_cold.len();
+    }
+    assert!(sent > 100 * 30, "the cold member gets its part: {sent} in a hundred plays");
+}
+
+#[test]
+fn thirty_routers_of_uneven_traffic_spare_a_cold_member_together() {
+    hold(Fleet::Settled);
+}
+
+/// Each counts its requests from nought and has yet to learn what a member takes.
+#[test]
+fn routers_that_have_started_with_it_and_know_nothing_spare_it_too() {
+    hold(Fleet::Restarted);
+}
