The list: watches judged by whole messages, calls that fit 6 s, drains count since told

Now the deadline is that of the next whole message, in a watch, a fetched list and the head alike; - a drain learnt from a watch that had to be opened again counted from its arrival, though the agent had told it: `follow` now hands each first list over with the moment since which it may count as told (the last word before, or the process's start), and the grace runs from there, in routing and in the module (`Entry::told`); - a whole list fetched beside the watch could be older than what the watch had told, and made a draining member active again: dropped by version; - a fetch from an address that SIGHUP has left held up the next one: ended with the move; - lists that come indented were read line by line and refused: a list goes on until it is whole; - a reset or a silence let half a line be looked at as a last one: only the end of the connection does; - what idles at a host that has restarted or moved, as the list says, is closed: a request that met it was reset; - without any list a request for a group was called wrong (22023); it is turned away, as it may come again.

Longest way to a list now: 2.25 s of silence, a call given up (1.2 s to its head, 2.25 s after it), a refused one, rests of 0.05, 0.1 and 0.2 s. Two of the tests guard what already held: discovery that comes back after 2.5 s, and a new address whose first call is lost.

--- a/crates/extproc/tests/desk.rs
+++ b/crates/extproc/tests/desk.rs
@@ -73,6 +73,7 @@
             weight: 1.0,
             primary: n == 1,
             started: None,
+            told: Time(u64::MAX),
         };
         b.run(vec![Out::Event(Event::List(ListForm::Cached, (1..=3).map(entry).collect()))]);
         b
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -241,6 +241,8 @@
     pub primary: bool,
     /// When it last started, if lately.
     pub started: Option<Time>,
+    /// Since when this line may count as told: earlier than it came, where it may have waited for a watch.
+    pub told: Time,
 }
 
 /// What kind of list came.
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -265,7 +265,7 @@
             match e.listed {
                 Listed::Ready => m.draining = None,
                 Listed::Gone if self.set.only_draining_binds => {}
-                _ => m.draining = m.draining.or(Some(self.now)),
+                _ => m.draining = m.draining.or(Some(e.told.min(self.now))),
             }
             // Late: counts where no answer has told since, never against one if members don't check reads.
             let as_of = self.now.minus(LIST_AGE);
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -79,6 +79,7 @@
         weight: 1.0,
         primary,
         started: None,
+        told: Time(u64::MAX),
     }
 }
 
--- a/crates/policy/tests/windows.rs
+++ b/crates/policy/tests/windows.rs
@@ -1,4 +1,5 @@
-//! Keyed requests whose window is shorter than their time.
+//! Keyed requests whose window is shorter than their time, and lines of the list that count from before they
+//! came.
 
 mod common;
 
@@ -65,3 +66,15 @@
         assert_eq!((b.refused(id), b.failed(id)), (refused, !refused), "given up after {at} ms");
     }
 }
+#[test]
+fn a_drains_grace_counts_from_when_it_may_have_been_told() {
+    for (ago, sends) in [(0, true), (900, true), (1000, false), (5000, false)] {
+        let mut b = Bench::new(settings());
+        let told = b.now.minus(Time::ms(ago));
+        let mut line = entry(1, 0, true);
+        (line.listed, line.told) = (Listed::Draining, told);
+        b.event(Event::List(ListForm::Delta, vec![line]));
+        let id = b.ask(UNSAFE, 0);
+        assert_eq!(b.went(id) == Some(1), sends, "told {ago} ms ago, the grace is a second");
+    }
+}
--- a/crates/router/src/protocol/discovery.rs
+++ b/crates/router/src/protocol/discovery.rs
@@ -60,10 +60,14 @@
 impl HostList {
     /// Reads a list from JSON text.
     pub fn parse(text: &[u8]) -> Result<HostList, ProtocolError> {
-        serde_json::from_slice(text).map_err(|e| ProtocolError(format!("a list that can't be read: {e}")))
+        serde_json::from_slice(text).map_err(|e| unreadable(&e))
     }
 }
 
+fn unreadable(e: &serde_json::Error) -> ProtocolError {
+    ProtocolError(format!("a list that can't be read: {e}"))
+}
+
 /// What a watch has brought.
 #[derive(Clone, Debug, PartialEq)]
 pub enum WatchMessage {
@@ -96,6 +100,8 @@
     inbox: Inbox,
     stage: Stage,
     line: Vec<u8>,
+    /// So much of it, in whole lines, is part of a list that goes on.
+    seen: usize,
 }
 
 impl WatchSide {
@@ -107,19 +113,15 @@
     /// The next message, if one has come whole.
     pub fn take(&mut self) -> Result<Option<WatchMessage>, ProtocolError> {
         loop {
-            if let Some(end) = self.line.iter().position(|b| *b == b'\n') {
-                let line: Vec<u8> = self.line.drain(..=end).collect();
-                let text = line.trim_ascii();
-                return match text {
-                    [] => Ok(Some(WatchMessage::Nothing)),
-                    text => HostList::parse(text).map(|list| Some(WatchMessage::List(list))),
-                };
+            if let Some(message) = self.line()? {
+                return Ok(Some(message));
             }
             if self.line.len() > LONGEST_LINE {
                 return Err(ProtocolError("a list that is too long".into()));
             }
             if self.stage == Stage::Over {
                 let rest = std::mem::take(&mut self.line);
+                self.seen = 0;
                 return match rest.trim_ascii() {
                     [] => Ok(Some(WatchMessage::End)),
                     text => HostList::parse(text).map(|list| Some(WatchMessage::List(list))),
@@ -131,10 +133,41 @@
         }
     }
 
+    /// Whether the answer's head has come.
+    pub fn has_head(&self) -> bool {
+        self.stage != Stage::Head
+    }
+
+    /// The next line that is whole. A list may be indented, over many lines: one that is not over goes on with
+    /// the next, and is looked at again where it may end.
+    fn line(&mut self) -> Result<Option<WatchMessage>, ProtocolError> {
+        while let Some(end) = self.line[self.seen..].iter().position(|b| *b == b'\n') {
+            let (first, end) = (self.seen == 0, self.seen + end + 1);
+            self.seen = end;
+            let text = self.line[..end].trim_ascii();
+            if !(text.is_empty() || first || text.ends_with(b"}")) {
+                continue;
+            }
+            let message = match text {
+                [] => WatchMessage::Nothing,
+                text => match serde_json::from_slice(text) {
+                    Ok(list) => WatchMessage::List(list),
+                    Err(e) if e.is_eof() => continue,
+                    Err(e) => return Err(unreadable(&e)),
+                },
+            };
+            self.line.drain(..end);
+            self.seen = 0;
+            return Ok(Some(message));
+        }
+        Ok(None)
+    }
+
     /// The connection has ended; what it has brought without its end is dropped.
     pub fn closed(&mut self) {
         if !matches!(self.stage, Stage::Plain(None)) {
             self.line.clear();
+            self.seen = 0;
         }
         self.stage = Stage::Over;
     }
--- a/crates/router/src/routing/members.rs
+++ b/crates/router/src/routing/members.rs
@@ -16,7 +16,8 @@
 pub struct Members {
     ids: BTreeMap<String, MemberId>,
     addrs: Vec<Option<SocketAddr>>,
-    of_group: Vec<GroupId>,
+    /// The last line of each.
+    lines: Vec<Entry>,
     parting: Vec<Parting>,
     only_draining_binds: bool,
     groups: BTreeSet<GroupId>,
@@ -29,7 +30,7 @@
         Members {
             ids: BTreeMap::new(),
             addrs: Vec::new(),
-            of_group: Vec::new(),
+            lines: Vec::new(),
             parting: Vec::new(),
             only_draining_binds,
             groups: BTreeSet::new(),
@@ -37,19 +38,30 @@
         }
     }
 
-    /// Takes a list in, in the decisions' terms.
-    pub fn take(&mut self, now: Time, list: HostList) -> (ListForm, Vec<Entry>) {
+    /// Takes a list in, in the decisions' terms. What it says may count as told since `told`. Addresses at
+    /// which a process has ended that was listening there are added to `ended`.
+    pub fn take(
+        &mut self,
+        told: Time,
+        list: HostList,
+        ended: &mut Vec<SocketAddr>,
+    ) -> (ListForm, Vec<Entry>) {
         let (version, full) = (list.version, list.full);
+        let mut entries = Vec::with_capacity(list.servers.len());
         if full {
             log::info!("list {version}: {} members", list.servers.len());
             if !self.only_draining_binds {
                 let named: BTreeSet<&str> = list.servers.iter().map(|h| h.id.as_str()).collect();
                 for (_, m) in self.ids.iter().filter(|(id, _)| !named.contains(id.as_str())) {
-                    self.parting[m.0 as usize].told.get_or_insert(now);
+                    let (parting, line) = (&mut self.parting[m.0 as usize], &self.lines[m.0 as usize]);
+                    if parting.told.is_none() {
+                        parting.told = Some(told);
+                        entries.push(Entry { listed: Listed::Gone, primary: false, told, ..line.clone() });
+                    }
                 }
             }
         }
-        let entries = list.servers.into_iter().map(|host| {
+        for host in list.servers {
             if !full {
                 let HostEntry { id, cell, state, started_ms, .. } = &host;
                 log::info!("list {version}: {id} in group {cell} is {state:?}, started at {started_ms}");
@@ -58,32 +70,33 @@
             let member = *self.ids.entry(host.id).or_insert(next);
             if member == next {
                 self.addrs.push(None);
-                self.of_group.push(GroupId(host.cell));
                 self.parting.push(Parting::default());
             }
             let parting = &mut self.parting[member.0 as usize];
-            if host.started_ms > parting.started_ms {
+            let restarted = host.started_ms > parting.started_ms;
+            if restarted {
                 *parting = Parting { told: None, started_ms: host.started_ms };
             }
             match host.state {
                 HostState::Active => parting.told = None,
                 HostState::Left if self.only_draining_binds => {}
-                HostState::Leaving | HostState::Left => drop(parting.told.get_or_insert(now)),
+                HostState::Leaving | HostState::Left => drop(parting.told.get_or_insert(told)),
             }
             let addr = host.addr.parse().ok();
+            let before = self.addrs[member.0 as usize];
+            ended.extend(before.filter(|b| restarted || addr.is_some_and(|a| a != *b)));
             match (addr, host.state) {
                 (Some(addr), _) => self.addrs[member.0 as usize] = Some(addr),
                 (None, HostState::Left) => {}
                 (None, _) => log::warn!("discovery: address {:?} can't be read", host.addr),
             }
             let group = GroupId(host.cell);
-            self.of_group[member.0 as usize] = group;
             self.groups.insert(group);
             let zone = self.zones.iter().position(|z| *z == host.zone).unwrap_or_else(|| {
                 self.zones.push(host.zone);
                 self.zones.len() - 1
             });
-            Entry {
+            let line = Entry {
                 member,
                 zone: ZoneId(zone as u16),
                 group,
@@ -95,9 +108,14 @@
                 weight: host.weight,
                 primary: host.rank.as_deref() == Some("source"),
                 started: (host.started_ms != 0).then_some(Time(host.started_ms.saturating_mul(1_000_000))),
+                told,
+            };
+            match self.lines.get_mut(member.0 as usize) {
+                Some(last) => *last = line.clone(),
+                None => self.lines.push(line.clone()),
             }
-        });
-        let entries = entries.collect();
+            entries.push(line);
+        }
         (if full { ListForm::Full } else { ListForm::Delta }, entries)
     }
 
@@ -114,11 +132,11 @@
     /// Names, ids and groups of all members that have not left.
     pub fn all(&self) -> impl Iterator<Item = (&str, MemberId, GroupId)> {
         let there = self.ids.iter().filter(|(_, m)| self.parting(**m).is_none());
-        there.map(|(name, m)| (name.as_str(), *m, self.of_group[m.0 as usize]))
+        there.map(|(name, m)| (name.as_str(), *m, self.lines[m.0 as usize].group))
     }
 
-    /// Whether any member of this group has been named.
-    pub fn has_group(&self, group: GroupId) -> bool {
-        self.groups.contains(&group)
+    /// Whether a group is known to be none: members have been named, and none of this group.
+    pub fn lacks(&self, group: GroupId) -> bool {
+        !self.groups.is_empty() && !self.groups.contains(&group)
     }
 }
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -75,8 +75,10 @@
     ClientGone(ClientId),
     /// An exchange has ended.
     Ended(ExchangeId, Ended),
-    /// Discovery has told something.
-    List(HostList),
+    /// A client calls its request off, and stays.
+    Cancelled(ClientId),
+    /// Discovery has told something, and since when it may count as told.
+    List(HostList, Time),
     /// Another proxy says something on a stream of its own.
     Proxy(StreamId, Spoken),
     /// Another router says something, or an operator asks.
@@ -202,7 +204,8 @@
             events: VecDeque::new(),
             actions: Vec::new(),
         };
-        let entries = known.map(|list| router.members.take(now, list).1).unwrap_or_default();
+        let entries = known.map(|list| router.members.take(now, list, &mut Vec::new()).1);
+        let entries = entries.unwrap_or_default();
         router.events.push_back(Event::List(ListForm::Cached, entries));
         router.run(now, out);
         router
@@ -227,8 +230,11 @@
                 }
             }
             Input::Ended(exchange, ended) => self.ended(now, exchange, ended, out),
-            Input::List(list) => {
-                let (form, entries) = self.members.take(now, list);
+            Input::List(list, told) => {
+                let mut ended = Vec::new();
+                let (form, entries) = self.members.take(told.min(now), list, &mut ended);
+                // What idles there is a connection to a process that is no more.
+                out.extend(ended.into_iter().map(Effect::CloseIdle));
                 self.events.push_back(Event::List(form, entries));
                 self.list_limits(now);
             }
@@ -378,7 +384,8 @@
             out.push(invalid("the class is unknown"));
             return None;
         };
-        if !self.members.has_group(group) {
+        // Without any list yet, that says nothing: the decisions turn it away, and it may come again.
+        if self.members.lacks(group) {
             out.push(invalid("the cluster is unknown"));
             return None;
         }
--- a/crates/router/src/transport/signal.rs
+++ b/crates/router/src/transport/signal.rs
@@ -20,10 +20,15 @@
         }
     }
 
+    /// Takes a note, if there is one.
+    pub fn take(&self) -> bool {
+        self.set.replace(false)
+    }
+
     /// Waits for a note and takes it.
     pub async fn wait(&self) {
         poll_fn(|cx| {
-            if self.set.replace(false) {
+            if self.take() {
                 return Poll::Ready(());
             }
             *self.waker.borrow_mut() = Some(cx.waker().clone());
--- a/crates/router/src/transport/watch.rs
+++ b/crates/router/src/transport/watch.rs
@@ -8,18 +8,25 @@
 use async_executor::Task;
 use async_io::{Async, Timer};
 use basalthill_fleet::Budget;
+use basalthill_policy::api::Time;
 use futures_lite::future;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-/// An empty line comes every two seconds: a watch that brings nothing for longer has died, and is opened anew
-/// at next to no cost. Members that come and go unnoticed meanwhile cost requests.
-const SILENCE: Duration = Duration::from_millis(2500);
+/// An empty line comes every two seconds: a watch that brings no whole message for longer has died, however
+/// many bytes drip in, and is opened anew at next to no cost.
+const SILENCE: Duration = Duration::from_millis(2250);
+/// Discovery's agent is near, and answers at once: so long for a connection and the answer's head. A packet
+/// that is lost on the way is sent again within it.
+const HEAD_WITHIN: Duration = Duration::from_millis(1200);
 const REST_FIRST: Duration = Duration::from_millis(50);
-const REST_MOST: Duration = Duration::from_secs(1);
+/// What discovery has counts as told 6 s after it can be reached, whatever became of calls before. The longest
+/// way to it: a silent watch (2.25 s), a rest, a call that is given up (1.2 s before its head, 2.25 s after
+/// it), a rest, one that is refused, a rest, and the call that tells: 5.1 s.
+const REST_MOST: Duration = Duration::from_millis(500);
 
 /// Where discovery is followed.
 pub struct Following {
@@ -28,22 +35,27 @@
     watches: RefCell<BTreeMap<u64, Task<()>>>,
     /// A call has been made.
     called: Cell<bool>,
+    /// The newest version that a watch has told, and where.
+    version: Cell<Option<(SocketAddr, u64)>>,
     /// The whole list is asked for.
     pub fetch: Signal,
     /// A list has been told.
     pub listed: Signal,
+    /// Discovery has moved: a call to where it was is not waited for.
+    moved: Signal,
 }
 
 impl Following {
     /// Nowhere yet; `addr` is where it will be.
     pub fn new(addr: SocketAddr) -> Following {
-        let (fetch, listed) = (Signal::default(), Signal::default());
         Following {
             addr: Cell::new(addr),
             called: Cell::new(false),
+            version: Cell::new(None),
             watches: RefCell::default(),
-            fetch,
-            listed,
+            fetch: Signal::default(),
+            listed: Signal::default(),
+            moved: Signal::default(),
         }
     }
 
@@ -57,6 +69,7 @@
     pub fn at(hub: &Rc<Hub>, addr: SocketAddr, from: Option<u64>) {
         let following = &hub.following;
         following.addr.set(addr);
+        following.moved.notify();
         let number = following.watches.borrow().last_key_value().map_or(0, |(n, _)| n + 1);
         let task = hub.spawn(run(Rc::clone(hub), number, addr, from));
         let mut watches = following.watches.borrow_mut();
@@ -67,13 +80,19 @@
         watches.extend(task.map(|t| (number, t)));
     }
 
+    /// Whether a watch has told more than a list of this version, at the same address.
+    fn outdated(&self, addr: SocketAddr, version: u64) -> bool {
+        self.version.get().is_some_and(|(at, newest)| at == addr && version < newest)
+    }
+
     /// Ends all watches.
     pub fn end(&self) {
         self.watches.borrow_mut().clear();
     }
 
-    /// A watch has told its list; called from within it.
-    fn told(&self, number: u64) {
+    /// A watch has told a list; called from within it.
+    fn told(&self, number: u64, addr: SocketAddr, version: u64) {
+        self.version.set(Some((addr, version)));
         self.watches.borrow_mut().retain(|n, _| *n >= number);
         self.listed.notify();
     }
@@ -100,9 +119,11 @@
 async fn run(hub: Rc<Hub>, number: u64, addr: SocketAddr, from: Option<u64>) {
     let mut version = from;
     let mut rest = REST_FIRST;
+    // Discovery may have had, and so told, what a watch brings first since the one before last said anything.
+    let mut heard = hub.clock.now();
     loop {
         let mut told = false;
-        match follow(&hub, number, addr, &mut version, &mut told).await {
+        match follow(&hub, number, addr, &mut version, &mut heard, &mut told).await {
             End::Failed(error) => log::warn!("discovery: {error}; the watch is opened again, the list kept"),
             End::Unreadable(error) => {
                 log::warn!("discovery: {error}; the whole list is asked for, the old one kept");
@@ -120,23 +141,40 @@
     number: u64,
     addr: SocketAddr,
     version: &mut Option<u64>,
+    heard: &mut Time,
     told: &mut bool,
 ) -> End {
+    let began = Instant::now();
     let stream = match ask(hub, addr, &watch_request(&addr.to_string(), *version)).await {
         Ok(stream) => stream,
         Err(end) => return end,
     };
     let mut side = WatchSide::default();
     let mut over = None;
+    let mut until = began + HEAD_WITHIN;
+    let (mut head, mut first) = (false, true);
     loop {
-        match side.take() {
+        let message = side.take();
+        if !head && side.has_head() {
+            (head, until) = (true, Instant::now() + SILENCE);
+        }
+        match message {
             Ok(Some(WatchMessage::List(list))) => {
-                (*version, *told) = (Some(list.version), true);
-                hub.input(Input::List(list));
-                hub.following.told(number);
+                until = Instant::now() + SILENCE;
+                let now = hub.clock.now();
+                let since = if first { *heard } else { now };
+                (*version, *told, *heard, first) = (Some(list.version), true, now, false);
+                let number_of_list = list.version;
+                hub.input(Input::List(list, since));
+                hub.following.told(number, addr, number_of_list);
+                continue;
+            }
+            Ok(Some(WatchMessage::Nothing)) => {
+                until = Instant::now() + SILENCE;
+                // It has come after all that there was to tell.
+                (*heard, first) = (hub.clock.now(), false);
                 continue;
             }
-            Ok(Some(WatchMessage::Nothing)) => continue,
             Ok(Some(WatchMessage::End)) => {
                 return over.unwrap_or_else(|| End::Failed("the watch has ended".into()))
             }
@@ -146,16 +184,16 @@
         if let Some(end) = over {
             return end;
         }
-        let read = async {
-            match io::read(hub, &stream, |bytes| side.feed(bytes)).await? {
-                0 => Err(End::Failed("the connection has ended".into())),
-                _ => Ok(()),
+        let read = async { Ok(io::read(hub, &stream, |bytes| side.feed(bytes)).await?) };
+        match future::or(read, silent(until)).await {
+            Ok(0) => {
+                // A body that ends with its connection may hold a last line.
+                side.closed();
+                over = Some(End::Failed("the connection has ended".into()));
             }
-        };
-        if let Err(end) = future::or(read, silence()).await {
-            // A body that ends with its connection may hold a last line.
-            side.closed();
-            over = Some(end);
+            Ok(_) => {}
+            // A reset is no end, nor is silence: what came before it may be part of a line.
+            Err(end) => return end,
         }
     }
 }
@@ -164,32 +202,43 @@
 pub async fn fetches(hub: Rc<Hub>) {
     loop {
         hub.following.fetch.wait().await;
+        hub.following.moved.take();
         let addr = hub.following.addr();
-        if let Err(End::Failed(e) | End::Unreadable(e)) = fetch(&hub, addr).await {
+        let moved = async {
+            hub.following.moved.wait().await;
+            hub.following.fetch.notify();
+            Err(End::Failed("discovery has moved meanwhile".into()))
+        };
+        if let Err(End::Failed(e) | End::Unreadable(e)) = future::or(fetch(&hub, addr), moved).await {
             log::warn!("discovery: fetching the list: {e}");
         }
     }
 }
 
 async fn fetch(hub: &Rc<Hub>, addr: SocketAddr) -> Result<(), End> {
+    let began = Instant::now();
+    let asked = hub.clock.now();
     let stream = ask(hub, addr, &list_request(&addr.to_string())).await?;
     let mut side = WatchSide::default();
+    let mut until = began + HEAD_WITHIN;
+    let mut head = false;
     loop {
-        match side.take().map_err(|e| End::Unreadable(e.to_string()))? {
-            // Discovery may have moved meanwhile: its new address has told, or will tell, the newer list.
-            Some(WatchMessage::List(_)) if addr != hub.following.addr() => {
-                hub.following.fetch.notify();
-                return Ok(());
-            }
+        let message = side.take().map_err(|e| End::Unreadable(e.to_string()))?;
+        if !head && side.has_head() {
+            (head, until) = (true, Instant::now() + SILENCE);
+        }
+        match message {
+            // A watch has told a newer one meanwhile: a drain in it would be forgotten.
+            Some(WatchMessage::List(list)) if hub.following.outdated(addr, list.version) => {}
             Some(WatchMessage::List(list)) => {
-                hub.input(Input::List(list));
+                hub.input(Input::List(list, asked));
                 hub.following.listed.notify();
             }
             Some(WatchMessage::Nothing) => {}
             Some(WatchMessage::End) => return Ok(()),
             None => {
                 let read = async { Ok(io::read(hub, &stream, |bytes| side.feed(bytes)).await?) };
-                if future::or(read, silence()).await? == 0 {
+                if future::or(read, silent(until)).await? == 0 {
                     side.closed();
                 }
             }
@@ -210,10 +259,10 @@
         io::write(&stream, &[request]).await?;
         Ok(stream)
     };
-    future::or(asked, silence()).await
+    future::or(asked, silent(Instant::now() + HEAD_WITHIN)).await
 }
 
-async fn silence<T>() -> Result<T, End> {
-    Timer::after(SILENCE).await;
+async fn silent<T>(until: Instant) -> Result<T, End> {
+    Timer::at(until).await;
     Err(End::Failed("silent for too long".into()))
 }
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Settings, statements and lists that the tests share.
 #![allow(dead_code)]
 
+pub mod served;
+
 use basalthill_config::settings::{read, Site};
 use basalthill_policy::api::Time;
 use basalthill_router::protocol::discovery::HostList;
--- /dev/null
+++ b/crates/router/tests/list_moments.rs
@@ -0,0 +1,187 @@
+//! Rare moments of the list: watches that fall silent, drip, end or hang, discovery that is away and comes back
+//! or moves, lists that are old or came late. A host's own record judges.
+
+mod common;
+
+use basalthill_standin::client::{Answer, Client};
+use basalthill_standin::discovery::{list, Discovery, Manner};
+use basalthill_standin::host::{Host, Reply};
+use common::served::{host, row, Served};
+use common::{text, SETTINGS};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// What discovery has counts as told this long after it could be reached.
+const TOLD: Duration = Duration::from_secs(6);
+/// The settings' grace after that, and the slack of the rules.
+const GRACE: Duration = Duration::from_millis(1050);
+
+/// A primary, and the one that takes its place.
+fn pair() -> (Host, Host) {
+    (host(|_| Reply::Row(b"one".to_vec())), host(|_| Reply::Row(b"two".to_vec())))
+}
+
+fn drained(version: u64, full: bool, one: &Host, two: &Host) -> String {
+    let members = [("s-1", one.addr, 2, "leaving", "copy"), ("s-2", two.addr, 2, "active", "source")];
+    list(version, full, &members)
+}
+
+/// Writes again and again, up to the first that the other member serves and for `after` beyond that; how long
+/// that took. A router with no descriptor to spare may close the connection: the next is opened.
+fn writes(addr: SocketAddr, after: Duration) -> Duration {
+    let (began, mut moved) = (Instant::now(), None);
+    let mut client = None;
+    let mut count = 0;
+    while moved.is_none_or(|m: Duration| began.elapsed() < m + after) {
+        assert!(began.elapsed() < 2 * TOLD, "the drain is never acted on");
+        count += 1;
+        let text = text("write", "").replace("id=9", &format!("id={count:x}a"));
+        let mut at = client.take().or_else(|| Client::connect(addr).ok());
+        match at.as_mut().map(|c| c.ask(&text)) {
+            Some(Ok(answer)) => {
+                if answer == row(b"two") && moved.is_none() {
+                    moved = Some(began.elapsed());
+                }
+                client = at;
+            }
+            _ => client = None,
+        }
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    moved.unwrap()
+}
+
+/// When the last write came that a host saw.
+fn last_write(host: &Host) -> Option<Instant> {
+    let seen = host.seen.lock();
+    let writes = seen.statements.iter().zip(&seen.times).filter(|((_, text), _)| text.contains("INSERT"));
+    writes.map(|(_, at)| *at).max()
+}
+
+/// The first watch drips while discovery learns of a drain, and the calls after it go as told; clients hold
+/// all the descriptors that they can get. The drain is acted on in time, and the host's record shows it.
+fn drain_after(calls: &[Manner]) {
+    let (one, two) = pair();
+    let known = list(1, true, &[("s-1", one.addr, 2, "active", "source")]);
+    let discovery = Discovery::start(known.clone()).unwrap();
+    discovery.told.change(|t| t.manners.push_back(Manner::Drips));
+    let served = Served::start(&known, discovery.addr, 64, SETTINGS);
+    assert_eq!(served.client().ask(&text("write", "")).unwrap(), row(b"one"));
+    let held: Vec<_> = (0..80).map(|_| Client::silent(served.addr).unwrap()).collect();
+    // From now on discovery has it, and could tell.
+    discovery.told.change(|t| t.manners.extend(calls));
+    discovery.break_off(drained(2, true, &one, &two));
+    let had = Instant::now();
+    let moved = writes(served.addr, GRACE);
+    assert!(moved < TOLD, "{calls:?}: {moved:?}");
+    let last = last_write(&one).unwrap();
+    assert!(last < had + TOLD + GRACE, "{calls:?}: {:?}", last - had);
+    drop(held);
+}
+
+#[test]
+fn a_watch_that_drips_half_a_line_for_ever_is_silent() {
+    drain_after(&[]);
+}
+
+#[test]
+fn a_drain_is_acted_on_in_time_through_a_silent_and_a_refused_call() {
+    drain_after(&[Manner::Silent, Manner::Closed]);
+}
+
+#[test]
+fn a_drain_is_acted_on_in_time_through_a_refused_call_and_one_that_ends_with_its_head() {
+    drain_after(&[Manner::Closed, Manner::Head]);
+}
+
+#[test]
+fn a_drain_is_acted_on_in_time_through_two_refused_calls_and_a_silent_one() {
+    drain_after(&[Manner::Closed, Manner::Closed, Manner::Silent]);
+}
+
+/// Discovery is away for so long that calls are far apart; at its return the drain is there.
+#[test]
+fn discovery_that_comes_back_is_heard_at_once() {
+    let (one, two) = pair();
+    let known = list(1, true, &[("s-1", one.addr, 2, "active", "source")]);
+    let nobody = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = nobody.local_addr().unwrap();
+    drop(nobody);
+    let served = Served::start(&known, addr, 64, SETTINGS);
+    assert_eq!(served.client().ask(&text("write", "")).unwrap(), row(b"one"));
+    std::thread::sleep(Duration::from_millis(2500));
+    let _discovery = Discovery::start_at(addr, drained(2, true, &one, &two)).unwrap();
+    let had = Instant::now();
+    let moved = writes(served.addr, GRACE);
+    assert!(moved < Duration::from_secs(2), "{moved:?}");
+    assert!(last_write(&one).unwrap() < had + Duration::from_secs(2) + GRACE);
+}
+
+/// The old address hangs and the first call to the new one is never answered.
+#[test]
+fn a_new_address_is_heard_in_time_though_its_first_call_is_lost() {
+    let (one, two) = pair();
+    let known = list(70, true, &[("s-1", one.addr, 2, "active", "source")]);
+    let old = Discovery::start(known.clone()).unwrap();
+    old.told.change(|t| t.manners.extend([Manner::Silent; 8]));
+    let new = Discovery::start(drained(3, true, &one, &two)).unwrap();
+    new.told.change(|t| t.manners.push_back(Manner::Silent));
+    let served = Served::start(&known, old.addr, 64, SETTINGS);
+    assert_eq!(served.client().ask(&text("write", "")).unwrap(), row(b"one"));
+    let held: Vec<_> = (0..80).map(|_| Client::silent(served.addr).unwrap()).collect();
+    served.moved(old.addr, new.addr);
+    let moved = writes(served.addr, Duration::from_millis(1));
+    assert!(moved < Duration::from_secs(4), "{moved:?} after the signal");
+    drop(held);
+}
+
+/// The agent had the drain before the process started, so it counts as told from then on, also where the
+/// first call was lost: nothing of its grace is left when the list comes.
+#[test]
+fn a_drain_that_was_there_before_the_start_has_no_grace_left_when_it_comes_late() {
+    let one = host(|_| Reply::Row(b"one".to_vec()));
+    let known = list(1, true, &[("s-1", one.addr, 2, "active", "source")]);
+    let discovery = Discovery::start(list(2, true, &[("s-1", one.addr, 2, "leaving", "source")])).unwrap();
+    discovery.told.change(|t| t.manners.push_back(Manner::Silent));
+    let served = Served::start(&known, discovery.addr, 64, SETTINGS);
+    assert_eq!(served.client().ask(&text("write", "")).unwrap(), row(b"one"));
+    discovery.told.wait(|t| (t.requests.len() >= 2).then_some(())).unwrap();
+    let told = Instant::now();
+    while told.elapsed() < GRACE {
+        let _ = served.client().ask(&text("write", ""));
+    }
+    // A moment for the list to come, and for what was on its way.
+    let last = last_write(&one).unwrap();
+    assert!(last < told + Duration::from_millis(50), "{:?} after it was told", last - told);
+}
+
+#[test]
+fn a_list_that_was_fetched_and_is_older_than_the_watch_undoes_no_drain() {
+    let (one, two) = pair();
+    let known = list(1, true, &[("s-1", one.addr, 2, "active", "source")]);
+    let discovery = Discovery::start(known.clone()).unwrap();
+    let settings = SETTINGS.replace("\"automatic\"", "\"subscribe\"");
+    let settings = settings.replace("\"rules\": {", "\"rules\": {\"askEvery\": 200000000, ");
+    let served = Served::start(&known, discovery.addr, 64, &settings);
+    assert_eq!(served.client().ask(&text("write", "")).unwrap(), row(b"one"));
+    // The stand-in's whole list stays that of its start: fetched, it comes late.
+    discovery.tell(drained(2, false, &one, &two));
+    let told = Instant::now();
+    writes(served.addr, 2 * GRACE);
+    let fetched = |t: &[String]| t.iter().filter(|r| !r.contains("watch=1")).count();
+    assert!(discovery.told.lock().requests.len() > 4 && fetched(&discovery.told.lock().requests) > 4);
+    let last = last_write(&one).unwrap();
+    assert!(last < told + GRACE, "{:?} after it was told", last - told);
+}
+
+#[test]
+fn a_list_that_comes_indented_is_read() {
+    let (one, two) = pair();
+    let known = list(1, true, &[("s-1", one.addr, 2, "active", "source")]);
+    let discovery = Discovery::start(drained(2, true, &one, &two)).unwrap();
+    discovery.told.change(|t| t.manners.extend([Manner::Indented; 8]));
+    let served = Served::start(&known, discovery.addr, 64, SETTINGS);
+    assert!(writes(served.addr, Duration::from_millis(1)) < Duration::from_secs(2));
+    let mut client = served.client();
+    assert!(matches!(client.ask(&text("write", "")), Ok(Answer::Row(_))));
+}
--- a/crates/router/tests/routing.rs
+++ b/crates/router/tests/routing.rs
@@ -5,6 +5,7 @@
 use basalthill_extproc::lease::StreamId;
 use basalthill_extproc::{Call, LeaseId, Limits, Say, Told, WriteId};
 use basalthill_policy::api::{ClassId, GroupId, MemberId, RequestId, Role, Standing, Status, TenantId, Time};
+use basalthill_router::protocol::discovery::HostList;
 use basalthill_router::protocol::host::{Ending, Row, Telling};
 use basalthill_router::routing::{Answer, ClientId, Effect, Ended, ExchangeId, Input, Query, Router, Spoken};
 use common::{hosts, sessions, site, statement};
@@ -67,6 +68,11 @@
         out
     }
 
+    /// Discovery tells a list, and had it just now.
+    fn list(&mut self, list: HostList) -> Vec<Effect> {
+        self.input(Input::List(list, self.now))
+    }
+
     fn ask(&mut self, client: u64, class: &str, more: &str) -> Vec<Effect> {
         self.input(Input::Request(ClientId(client), statement(class, more)))
     }
@@ -319,12 +325,12 @@
 fn a_host_is_reached_at_its_newest_address_and_a_removed_one_gets_nothing() {
     let mut d = Driven::new();
     let moved = "127.0.0.1:7009";
-    d.input(Input::List(hosts(2, false, &[("s-1", moved, "active", "source")])));
+    d.list(hosts(2, false, &[("s-1", moved, "active", "source")]));
     let (id, addr, _) = d.attempt(1, "write");
     assert_eq!(addr, moved.parse().unwrap());
     d.end(id, Ended::Answered(Ending::Row(row(b"x")), Telling::default()));
     // A full list without the replica: after the grace it gets nothing more.
-    d.input(Input::List(hosts(3, true, &[("s-1", moved, "active", "source")])));
+    d.list(hosts(3, true, &[("s-1", moved, "active", "source")]));
     d.pass(1100);
     for client in 2..20 {
         let effects = d.ask(client, "report", "");
@@ -339,16 +345,19 @@
 fn a_connection_that_comes_up_after_a_drains_grace_may_not_be_written_to() {
     let mut d = Driven::new();
     let both = |state| [("s-1", PRIMARY, state, "source"), ("s-2", COPY, "active", "copy")];
-    d.input(Input::List(hosts(2, false, &both("leaving"))));
+    d.list(hosts(2, false, &both("leaving")));
     d.pass(999);
-    assert!(d.router.may_write(d.now, MemberId(0)));
-    d.input(Input::List(hosts(3, false, &both("left"))));
+    assert!(d.router.may_write(d.now, ExchangeId::Probe(0), MemberId(0)));
+    d.list(hosts(3, false, &both("left")));
     d.pass(1);
-    assert!(!d.router.may_write(d.now, MemberId(0)), "the grace runs from the first notice");
-    assert!(d.router.may_write(d.now, MemberId(1)));
-    d.input(Input::List(hosts(4, false, &both("active"))));
-    assert!(d.router.may_write(d.now, MemberId(0)), "it is back in service");
-    d.input(Input::List(hosts(5, true, &both("active")[1..])));
+    assert!(
+        !d.router.may_write(d.now, ExchangeId::Probe(0), MemberId(0)),
+        "the grace runs from the first notice"
+    );
+    assert!(d.router.may_write(d.now, ExchangeId::Probe(0), MemberId(1)));
+    d.list(hosts(4, false, &both("active")));
+    assert!(d.router.may_write(d.now, ExchangeId::Probe(0), MemberId(0)), "it is back in service");
+    d.list(hosts(5, true, &both("active")[1..]));
     d.pass(1000);
     assert!(!d.router.may_write(d.now, MemberId(0)), "one absent from a whole list has gone");
 }
@@ -462,7 +471,7 @@
                 Step::Pass(ms) => d.pass(ms),
                 Step::List(n) => {
                     let state = ["active", "leaving", "left"][n as usize];
-                    d.input(Input::List(hosts(2, false, &[("s-2", COPY, state, "copy")])))
+                    d.list(hosts(2, false, &[("s-2", COPY, state, "copy")]))
                 }
             };
             while !effects.is_empty() {
--- a/crates/router/tests/transport.rs
+++ b/crates/router/tests/transport.rs
@@ -2,132 +2,16 @@
 
 mod common;
 
-use async_io::Async;
-use basalthill_config::router::{parse, Reading, RouterConfig};
-use basalthill_router::transport::{self, Command};
 use basalthill_standin::client::{query, startup, Answer, Client};
 use basalthill_standin::discovery::{list, Discovery};
-use basalthill_standin::host::{self, Host, Reply, Telling};
-use basalthill_standin::{unix_ms, Watched, PATIENCE};
+use basalthill_standin::host::{self, Reply};
+use basalthill_standin::PATIENCE;
+use common::served::{code, host, nobody, row, Served};
 use common::{text, SETTINGS};
-use futures_lite::{stream, AsyncReadExt};
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::mpsc::{channel, Sender};
-use std::sync::Arc;
-use std::thread::JoinHandle;
+use std::net::{Shutdown, TcpStream};
 use std::time::{Duration, Instant};
 
-/// So little that one large statement at a time is read on.
-const MEMORY_MB: u64 = 1;
-
-/// A router in a thread of its own; it is stopped and awaited at the end.
-struct Served {
-    addr: SocketAddr,
-    stop: Option<TcpStream>,
-    again: Sender<RouterConfig>,
-    config: String,
-    thread: Option<JoinHandle<()>>,
-    over: Arc<Watched<bool>>,
-}
-
-impl Served {
-    fn start(known: &str, discovery: SocketAddr, sockets: usize, settings: &str) -> Served {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-        let addr = listener.local_addr().unwrap();
-        let text = format!(
-            r#"{{"name":"n1","listen":"{addr}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
-            "limits":{{"cores":1.0,"memory_mb":{MEMORY_MB},"sockets":{sockets}}},
-            "known":{known},"settings":{settings}}}"#
-        );
-        let config = parse(text.as_bytes(), |_| None, Reading::Start).unwrap();
-        let door = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-        let stop = TcpStream::connect(door.local_addr().unwrap()).unwrap();
-        let stopped = door.accept().unwrap().0;
-        let (again, configs) = channel::<RouterConfig>();
-        let over = Arc::new(Watched::default());
-        let tell = Arc::clone(&over);
-        let thread = std::thread::spawn(move || {
-            // Each byte announces a configuration read again; the end of the stream is the signal to stop.
-            let commands = stream::unfold(Async::new(stopped).unwrap(), |mut s| async {
-                let n = s.read(&mut [0]).await.unwrap();
-                let command =
-                    if n == 0 { Command::Stop } else { Command::Reload(configs.recv().unwrap().into()) };
-                Some((command, s))
-            });
-            transport::serve(listener, config, commands).unwrap();
-            tell.change(|o| *o = true);
-        });
-        Served { addr, stop: Some(stop), again, config: text, thread: Some(thread), over }
-    }
-
-    /// Has the router read a configuration again that names another discovery.
-    fn moved(&self, from: SocketAddr, to: SocketAddr) {
-        let text =
-            self.config.replace(&format!("\"discovery\":\"{from}\""), &format!("\"discovery\":\"{to}\""));
-        self.again.send(parse(text.as_bytes(), |_| None, Reading::Again).unwrap()).unwrap();
-        self.stop.as_ref().unwrap().write_all(&[0]).unwrap();
-    }
-
-    /// One primary, with discovery telling the same.
-    fn of(host: &Host) -> Served {
-        Served::with(host, 256)
-    }
-
-    /// The same with so many descriptors.
-    fn with(host: &Host, sockets: usize) -> Served {
-        let known = list(1, true, &[("s-1", host.addr, 2, "active", "source")]);
-        let discovery = Discovery::start(known.clone()).unwrap();
-        Served::start(&known, discovery.addr, sockets, SETTINGS)
-    }
-
-    fn client(&self) -> Client {
-        Client::connect(self.addr).unwrap()
-    }
-
-    fn stop(&mut self) {
-        drop(self.stop.take());
-    }
-}
-
-impl Drop for Served {
-    fn drop(&mut self) {
-        self.stop();
-        if let Some(thread) = self.thread.take() {
-            let _ = thread.join();
-        }
-    }
-}
-
-fn primary() -> Telling {
-    vec![("rank", "source".into()), ("as_of", unix_ms().to_string())]
-}
-
-/// A primary that answers probes and gives statements to `answers`.
-fn host(answers: impl Fn(&str) -> Reply + Send + Sync + 'static) -> Host {
-    Host::start(move |text| match text {
-        "SHOW vitals" => (Reply::Row(format!("x0={}.0,x1=1", unix_ms() / 1000).into_bytes()), Vec::new()),
-        text => (answers(text), primary()),
-    })
-    .unwrap()
-}
-
-/// An address at which nobody listens: a port that only the machine's owner could open.
-fn nobody() -> SocketAddr {
-    (Ipv4Addr::LOCALHOST, 1).into()
-}
-
-fn row(value: &[u8]) -> Answer {
-    Answer::Row(value.to_vec())
-}
-
-fn code(answer: &Answer) -> &str {
-    match answer {
-        Answer::Error(code, _) => code,
-        other => panic!("an error expected, not {other:?}"),
-    }
-}
-
 #[test]
 fn a_statement_is_passed_on_unchanged_but_for_what_is_left_of_its_time() {
     let host = host(|_| Reply::Row(b"\x9f\x03".to_vec()));
--- a/crates/sim/src/wire.rs
+++ b/crates/sim/src/wire.rs
@@ -207,7 +207,9 @@
     let (weight, started) = (c.f32()?, c.u64()?);
     let group = GroupId(u32::from(group));
     let started = (started != 0).then_some(Time(started));
-    Ok(Entry { member, zone, group, listed, weight, primary, started })
+    // The bench hands a line over as it counts.
+    let told = Time(u64::MAX);
+    Ok(Entry { member, zone, group, listed, weight, primary, started, told })
 }
 
 fn status(code: u16) -> Result<Status, Fault> {
--- a/crates/standin/src/discovery.rs
+++ b/crates/standin/src/discovery.rs
@@ -1,11 +1,27 @@
 //! Discovery: the list over HTTP/1.1, and a watch that tells changes.
 
 use crate::Watched;
-use std::io::{self, BufRead, BufReader, Write};
+use std::collections::VecDeque;
+use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::time::Duration;
 
+/// How a call is taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Manner {
+    /// Its connection is closed at once.
+    Closed,
+    /// It is never answered.
+    Silent,
+    /// Its answer ends with the head, and the connection stays.
+    Head,
+    /// A watch tells its first line; then half a line drips in, byte by byte, and never ends.
+    Drips,
+    /// The list comes indented, over many lines.
+    Indented,
+}
+
 /// What discovery holds and has seen.
 #[derive(Debug, Default)]
 pub struct Told {
@@ -15,6 +31,8 @@
     pub requests: Vec<String>,
     /// Watches are answered with nothing at all.
     pub silent: bool,
+    /// How the next calls are taken, in order; those after them as usual.
+    pub manners: VecDeque<Manner>,
     /// Watches begun so far, and watches to be broken up to this number.
     watches: usize,
     broken: usize,
@@ -67,10 +85,10 @@
     let first = lines.next().unwrap_or_else(|| Ok(String::new()))?;
     while !lines.next().unwrap_or_else(|| Ok(String::new()))?.is_empty() {}
     let watch = first.contains("watch=1");
-    let (list, number, silent) = told.change(|t| {
+    let (list, number, silent, manner) = told.change(|t| {
         t.requests.push(first);
         t.watches += usize::from(watch);
-        (t.lines[0].clone(), t.watches, t.silent)
+        (t.lines[0].clone(), t.watches, t.silent, t.manners.pop_front())
     });
     let mut stream = stream;
     if silent {
@@ -78,6 +96,27 @@
         return Ok(());
     }
     let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
+    match manner {
+        Some(Manner::Closed) => return Ok(()),
+        Some(Manner::Silent) => return stays(stream),
+        Some(Manner::Head) => {
+            write!(stream, "{head}Transfer-Encoding: chunked\r\n\r\n")?;
+            return stays(stream);
+        }
+        Some(Manner::Drips) => {
+            write!(stream, "{head}\r\n{list}\n{{")?;
+            loop {
+                stream.write_all(b" ")?;
+                std::thread::sleep(Duration::from_millis(50));
+            }
+        }
+        Some(Manner::Indented) => {
+            let list = list.replace('{', "{\n  ").replace(',', ",\n  ").replace('}', "\n}");
+            write!(stream, "{head}\r\n{list}\n")?;
+            return stays(stream);
+        }
+        None => {}
+    }
     if !watch {
         return write!(stream, "{head}Content-Length: {}\r\n\r\n{list}", list.len());
     }
@@ -101,6 +140,11 @@
     }
 }
 
+/// Keeps a connection until the other side closes it.
+fn stays(mut stream: TcpStream) -> io::Result<()> {
+    stream.read(&mut [0]).map(drop)
+}
+
 /// A line of a list, for members given as (id, address, group, state, rank).
 pub fn list(version: u64, full: bool, members: &[(&str, SocketAddr, u32, &str, &str)]) -> String {
     let entry = |(id, addr, cell, state, rank): &(&str, SocketAddr, u32, &str, &str)| {
