Clients: one lingering close, cancels, nothing sent for those that left, fair turns

Now every way out ends the sending, drains for half a second at most, then closes; what had come by then is served, a request that has begun to come may be finished; - a write whose client left while its connection came up was still written (only safe attempts are called off): `may_write` now asks for the request, too, and the client's socket is looked at just before the first byte, as its task may be behind a flood; - cancel requests were thrown away and all keys were zero: a connection has a key of its own, what is called off is answered 57014 at once; - with more than 16 KiB unread behind an open request its client's close went unnoticed: it is polled for (RDHUP, 25 ms); - a client that sends empty queries without end kept the one thread to itself: each message gives the others their turn; - at the end of a stop a request read behind another was sent on and lost with the process: it is refused at once; - connections that the machine had accepted were reset as the listener closed, and one that waited for a seat with it: all are taken in, for 50 ms at most; - a router without any list was never ready: after 5 s it takes clients in and turns their requests away; - signals waited for 5 s while an address was in use: they are heard.

--- a/crates/config/src/router.rs
+++ b/crates/config/src/router.rs
@@ -130,6 +130,9 @@
 /// So many commands running that are none of ours end a client's connection.
 pub const CLIENT_FAULTS: u32 = 16;
 
+/// A router that has no list of members takes clients in after this time all the same.
+pub const READY_WITHIN: Time = Time::ms(5000);
+
 /// After the signal to stop, requests are taken as usual for this long: the front goes on dealing meanwhile.
 pub const STOP_SERVING: Time = Time::ms(500);
 
--- a/crates/router/src/program/mod.rs
+++ b/crates/router/src/program/mod.rs
@@ -6,6 +6,7 @@
 
 use crate::protocol::host::{self, Ending, HostMessage, HostSide};
 use crate::transport::{self, Command as Ask};
+use async_io::Timer;
 use async_signal::{Signal, Signals};
 use basalthill_config::router::{load, Reading, RouterConfig};
 use basalthill_config::ConfigError;
@@ -149,26 +150,52 @@
     }
 }
 
-/// Listens; an address that an earlier process still holds is waited for, for a while.
-fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+/// What came of listening.
+enum Listening {
+    /// It listens. The configuration may have changed while the address was waited for.
+    Begun(TcpListener, Option<Again>),
+    /// A signal to stop came first.
+    Stopped,
+}
+
+/// The file as it is read again, on a thread of its own.
+type Again = future::Boxed<Result<RouterConfig, ConfigError>>;
+
+fn again(files: &Files) -> Again {
+    let files = files.clone();
+    Box::pin(blocking::unblock(move || read(&files, Reading::Again)))
+}
+
+/// Listens; an address that an earlier process still holds is waited for, for a while. Signals are heard
+/// meanwhile.
+fn listen(address: SocketAddr, signals: &mut Signals, files: &Files) -> std::io::Result<Listening> {
     let until = Instant::now() + LISTEN_WITHIN;
-    let mut said = false;
+    let (mut said, mut reload) = (false, None);
     loop {
         match TcpListener::bind(address) {
             Err(e) if e.kind() == std::io::ErrorKind::AddrInUse && Instant::now() < until => {
                 if !std::mem::replace(&mut said, true) {
                     log::warn!("{address} is in use; waiting for it");
                 }
-                std::thread::sleep(LISTEN_AGAIN);
+                let signal = async { Some(signals.next().await) };
+                let rest = async {
+                    Timer::after(LISTEN_AGAIN).await;
+                    None
+                };
+                match async_io::block_on(future::or(signal, rest)) {
+                    None => {}
+                    Some(Some(Ok(Signal::Hup))) => reload = Some(again(files)),
+                    Some(_) => return Ok(Listening::Stopped),
+                }
             }
-            done => return done,
+            done => return Ok(Listening::Begun(done?, reload)),
         }
     }
 }
 
 fn serve(files: Files) -> ExitCode {
     // The handlers stand before anything that may take a while: unhandled, SIGHUP would end the program.
-    let signals = match Signals::new([Signal::Term, Signal::Int, Signal::Hup]) {
+    let mut signals = match Signals::new([Signal::Term, Signal::Int, Signal::Hup]) {
         Ok(signals) => signals,
         Err(e) => {
             eprintln!("basalthill: signals: {e}");
@@ -179,8 +206,12 @@
         Ok(config) => config,
         Err(e) => return bad(&e),
     };
-    let listener = match listen(config.listen) {
-        Ok(listener) => listener,
+    let (listener, reload) = match listen(config.listen, &mut signals, &files) {
+        Ok(Listening::Begun(listener, reload)) => (listener, reload),
+        Ok(Listening::Stopped) => {
+            log::info!("stopped before it listened");
+            return ExitCode::SUCCESS;
+        }
         Err(e) => {
             eprintln!("basalthill: listen {}: {e}", config.listen);
             return ExitCode::FAILURE;
@@ -188,7 +219,7 @@
     };
     let listen = listener.local_addr().unwrap_or(config.listen);
     log::info!("{} listens on {listen}", config.name);
-    match transport::serve(listener, config, commands(signals, files)) {
+    match transport::serve(listener, config, commands(signals, files, reload)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             log::error!("{e}");
@@ -199,27 +230,25 @@
 
 /// What the signals ask for. On SIGHUP the file is read on a thread of its own, so that no request waits for
 /// it; another signal meanwhile is heard, and the newest file counts.
-fn commands(signals: Signals, files: Files) -> impl Stream<Item = Ask> {
-    stream::unfold((signals, files), |(mut signals, files)| async move {
-        let mut again = None;
+fn commands(signals: Signals, files: Files, reload: Option<Again>) -> impl Stream<Item = Ask> {
+    stream::unfold((signals, files, reload), |(mut signals, files, mut reload)| async move {
         loop {
             let signal = async { Err(signals.next().await) };
             let file = async {
-                match again.as_mut() {
+                match reload.as_mut() {
                     Some(file) => Ok(file.await),
                     None => future::pending().await,
                 }
             };
             match future::or(signal, file).await {
                 Err(Some(Ok(Signal::Hup))) => {
-                    let files = files.clone();
-                    again = Some(blocking::unblock(move || read(&files, Reading::Again)));
+                    reload = Some(again(&files));
                 }
-                Err(_) => return Some((Ask::Stop, (signals, files))),
-                Ok(Ok(config)) => return Some((Ask::Reload(Box::new(config)), (signals, files))),
+                Err(_) => return Some((Ask::Stop, (signals, files, None))),
+                Ok(Ok(config)) => return Some((Ask::Reload(Box::new(config)), (signals, files, None))),
                 Ok(Err(e)) => {
                     log::error!("configuration: not taken over, the old one stays in force: {e}");
-                    again = None;
+                    reload = None;
                 }
             }
         }
--- a/crates/router/src/protocol/client.rs
+++ b/crates/router/src/protocol/client.rs
@@ -8,13 +8,22 @@
 pub const LONGEST: usize = LONGEST_STATEMENT;
 const LONGEST_STARTUP: usize = 10_000;
 
+/// What a connection is told at its welcome, and a request to call something off has to name.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CancelKey {
+    /// The connection's number.
+    pub process: u32,
+    /// What only its client knows.
+    pub secret: u32,
+}
+
 /// What a client has sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ClientMessage {
     /// It asks for encryption, which is declined.
     Encryption,
-    /// It wants another request called off; that is not offered.
-    CancelRequest,
+    /// It wants the request called off that is open on the connection which was welcomed with this key.
+    CancelRequest(CancelKey),
     /// It has introduced itself; the flags tell of a newer minor version or of options that we don't know.
     Startup {
         /// NegotiateProtocolVersion is due.
@@ -102,7 +111,13 @@
         let (version, options) = body.split_at(4);
         let version = u32::from_be_bytes([version[0], version[1], version[2], version[3]]);
         let message = match (version >> 16, version & 0xffff) {
-            (1234, 5678) => ClientMessage::CancelRequest,
+            (1234, 5678) => match options {
+                &[a, b, c, d, e, f, g, h] => ClientMessage::CancelRequest(CancelKey {
+                    process: u32::from_be_bytes([a, b, c, d]),
+                    secret: u32::from_be_bytes([e, f, g, h]),
+                }),
+                _ => return Err(ProtocolError(format!("a cancel request of {len} bytes"))),
+            },
             (1234, 5679 | 5680) => ClientMessage::Encryption,
             (3, minor) => {
                 let mut newer = minor > 0;
@@ -128,8 +143,8 @@
 /// The answer to a request for encryption: none.
 pub const NO_ENCRYPTION: &[u8] = b"N";
 
-/// The welcome to a client that has introduced itself.
-pub fn welcome(newer: bool) -> Vec<u8> {
+/// The welcome to a client that has introduced itself, with the key by which it can call its requests off.
+pub fn welcome(newer: bool, key: CancelKey) -> Vec<u8> {
     let mut out = Vec::with_capacity(256);
     if newer {
         put(&mut out, b'v', |out| out.extend([0; 8]));
@@ -149,7 +164,10 @@
             put_text(out, value);
         });
     }
-    put(&mut out, b'K', |out| out.extend([0; 8]));
+    put(&mut out, b'K', |out| {
+        out.extend(key.process.to_be_bytes());
+        out.extend(key.secret.to_be_bytes());
+    });
     out.extend_from_slice(READY);
     out
 }
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -109,6 +109,8 @@
     Refused(Option<u64>),
     /// Ended without a promise.
     Failed,
+    /// Called off by the client itself: ended without a promise.
+    Cancelled,
     /// Not a request of ours.
     Invalid(StatementError),
 }
@@ -130,6 +132,8 @@
     pub id: ExchangeId,
     /// With which member.
     pub member: MemberId,
+    /// Who waits for it; nobody for a probe.
+    pub client: Option<ClientId>,
     /// Where that listens.
     pub addr: SocketAddr,
     /// What is to be written.
@@ -173,6 +177,8 @@
     probes: Probes,
     timers: Timers,
     tally: Tally,
+    /// The program is about to end: nothing more is sent on.
+    over: bool,
     events: VecDeque<Event>,
     actions: Vec<Action>,
 }
@@ -201,6 +207,7 @@
             probes: Probes::default(),
             timers: Timers::default(),
             tally: Tally::default(),
+            over: false,
             events: VecDeque::new(),
             actions: Vec::new(),
         };
@@ -215,6 +222,10 @@
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Effect>) {
         match input {
             Input::ClientCame(client) => drop(self.accepted.insert(client, now)),
+            Input::Request(client, _) if self.over => {
+                self.tally.refused += 1;
+                out.push(Effect::Answer(client, Answer::Refused(None)));
+            }
             Input::Request(client, statement) => {
                 if let Some((id, keys)) = self.request(now, client, statement, out) {
                     self.run(now, out);
@@ -229,6 +240,15 @@
                     self.events.push_back(Event::Lapsed(id));
                 }
             }
+            Input::Cancelled(client) => {
+                if let Some(id) = self.requests.release(client) {
+                    self.tally.left += 1;
+                    self.doubtful(now, id, out);
+                    self.close(now, id);
+                    out.push(Effect::Answer(client, Answer::Cancelled));
+                    self.events.push_back(Event::Lapsed(id));
+                }
+            }
             Input::Ended(exchange, ended) => self.ended(now, exchange, ended, out),
             Input::List(list, told) => {
                 let mut ended = Vec::new();
@@ -242,6 +262,7 @@
             Input::Proxy(stream, spoken) => self.proxy(now, stream, spoken, out),
             Input::Tick => self.due(now, out),
             Input::Shutdown => {
+                self.over = true;
                 for (client, id) in self.requests.release_all() {
                     self.doubtful(now, id, out);
                     self.close(now, id);
@@ -260,11 +281,16 @@
         self.timers.next().into_iter().chain(lease).chain(fleet).min()
     }
 
-    /// Whether a query may still be written to a member. The decisions keep a drain's grace when they send,
-    /// but a connection can come up after it has passed.
-    pub fn may_write(&self, now: Time, member: MemberId) -> bool {
+    /// Whether an exchange's query may still be written. The decisions keep a drain's grace when they send,
+    /// but a connection can come up after it has passed, or after the request has ended: its client may have
+    /// gone meanwhile.
+    pub fn may_write(&self, now: Time, exchange: ExchangeId, member: MemberId) -> bool {
         let grace = self.site.settings.drain_grace;
-        self.members.parting(member).is_none_or(|told| now < told.plus(grace))
+        let awaited = match exchange {
+            ExchangeId::Attempt(id, _) => self.requests.get(id).is_some_and(|open| !open.answered),
+            ExchangeId::Probe(_) => true,
+        };
+        awaited && self.members.parting(member).is_none_or(|told| now < told.plus(grace))
     }
 
     /// Requests without an answer.
@@ -356,7 +382,7 @@
                 });
                 let text = if self.site.reports == Reports::None { "SELECT 1" } else { "SHOW vitals" };
                 let (id, query) = (ExchangeId::Probe(number), Query::Own(text));
-                out.push(Effect::Begin(Order { id, member, addr, query }));
+                out.push(Effect::Begin(Order { id, member, client: None, addr, query }));
             }
             Action::CloseIdle(member) => out.extend(self.members.addr(member).map(Effect::CloseIdle)),
             Action::Watch => {} // a watch is always kept
@@ -456,7 +482,8 @@
             let token = self.sessions.early(now, owner, open.group, bond, now.plus(wait));
             out.extend(token.map(|t| Effect::Token(open.client, t)));
         }
-        out.push(Effect::Begin(Order { id: ExchangeId::Attempt(id, attempt), member, addr, query }));
+        let (exchange, client) = (ExchangeId::Attempt(id, attempt), Some(open.client));
+        out.push(Effect::Begin(Order { id: exchange, member, client, addr, query }));
         self.begun(now, id, attempt, member, now.plus(wait));
         if attempt > Attempt(0) {
             self.spends(now, Budget::Retries);
@@ -550,7 +577,7 @@
         match answer {
             Answer::Served(_) => self.tally.served += 1,
             Answer::Refused(_) => self.tally.refused += 1,
-            Answer::Failed => self.tally.failed += 1,
+            Answer::Failed | Answer::Cancelled => self.tally.failed += 1,
             Answer::Invalid(_) => self.tally.invalid += 1,
         }
         let client = open.client;
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -2,7 +2,7 @@
 
 use super::budget::{Budget, Permit, LOOK_AGAIN};
 use super::{io, Hub};
-use crate::protocol::client::{self, ClientMessage, ClientSide};
+use crate::protocol::client::{self, CancelKey, ClientMessage, ClientSide};
 use crate::protocol::statement::Statement;
 use crate::routing::{Answer, ClientId, Input};
 use async_io::{Async, Timer};
@@ -14,9 +14,10 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::poll_fn;
-use std::io::Write;
+use std::hash::{BuildHasher, RandomState};
+use std::io::{ErrorKind, Write};
 use std::net::TcpStream;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{Poll, Waker};
 use std::time::{Duration, Instant};
 
@@ -48,11 +49,17 @@
     /// When the first byte of the message came that is not whole yet.
     begun: Cell<Option<Instant>>,
     ended: Cell<bool>,
+    /// Its socket, while its task goes on.
+    stream: Weak<Async<TcpStream>>,
+    key: CancelKey,
 }
 
+/// How often it is looked whether a client is still there behind what it has sent and what is not read on.
+const LOOK_BEHIND: Duration = Duration::from_millis(25);
+
 /// How often room is looked for before a client is turned away: no longer than one that has just come may
 /// take to ask.
-const SEAT_TRIES: u32 = 8;
+pub const SEAT_TRIES: u32 = 8;
 
 /// The clients of a router, and what there is for them.
 pub struct Clients {
@@ -67,6 +74,8 @@
     large: Budget,
     /// They are told when their connection is closed between two requests.
     pub farewell: Cell<bool>,
+    /// Draws the secrets of cancel keys.
+    secrets: RandomState,
     /// Turned away, and told to go, since the log told of them.
     turned_away: Cell<u32>,
     dismissed: Cell<u32>,
@@ -82,6 +91,7 @@
             doors: Budget::new(SOCKETS_RESERVED / 3),
             large: Budget::new(config.limits.large_statements()),
             farewell: Cell::new(config.own.farewell),
+            secrets: RandomState::new(),
             turned_away: Cell::new(0),
             dismissed: Cell::new(0),
         }
@@ -97,6 +107,23 @@
         self.slots.borrow().get(&client).cloned()
     }
 
+    /// The key of a client's connection.
+    fn key(&self, client: ClientId) -> CancelKey {
+        CancelKey { process: client.0 as u32, secret: self.secrets.hash_one(client.0) as u32 }
+    }
+
+    /// The client whose connection has this key.
+    fn of_key(&self, key: CancelKey) -> Option<ClientId> {
+        let client = ClientId(u64::from(key.process));
+        self.slots.borrow().get(&client).filter(|slot| slot.key == key).map(|_| client)
+    }
+
+    /// Whether a client is known to have closed its connection, though its task may not have seen it yet.
+    pub fn left(&self, client: ClientId) -> bool {
+        let stream = self.slots.borrow().get(&client).map(|slot| slot.stream.upgrade());
+        stream.is_none_or(|stream| stream.is_none_or(|stream| io::ended(&stream)))
+    }
+
     /// Has them all look whether the router stops.
     pub fn wake(&self) {
         self.slots.borrow().values().for_each(|slot| slot.wake());
@@ -109,17 +136,19 @@
 
     /// Descriptors for a client, out of the clients' part. When there are many, one that has asked nothing
     /// makes room, or the one that has been quiet for longest; one that has only just come is given a moment,
-    /// and one in the middle of a message is ended only where there is no place at all.
-    pub async fn seat(&self, hub: &Hub) -> Option<[Permit; 2]> {
+    /// and one in the middle of a message is ended only where there is no place at all. Room is looked for so
+    /// often.
+    pub async fn seat(&self, hub: &Hub, tries: u32) -> Option<[Permit; 2]> {
         if self.slots.borrow().len() >= self.crowd {
             self.make_room(Room::Begun(Duration::MAX)).await;
         }
-        for _ in 0..SEAT_TRIES {
+        for left in (0..tries).rev() {
             if let Some(seat) = self.seats.take() {
                 return Some([hub.permit().await?, seat]);
             }
             match self.make_room(Room::Soon).await {
                 Room::No => break,
+                Room::Soon if left == 0 => break,
                 Room::Soon => drop(Timer::after(LOOK_AGAIN).await),
                 Room::Begun(_) | Room::Idle(_) | Room::Unasked(_) => {}
             }
@@ -156,7 +185,7 @@
 }
 
 impl Slot {
-    fn new() -> Slot {
+    fn new(stream: &Rc<Async<TcpStream>>, key: CancelKey) -> Slot {
         Slot {
             answer: RefCell::default(),
             token: RefCell::default(),
@@ -164,6 +193,8 @@
             stage: Cell::new(Stage::Unasked(Instant::now())),
             begun: Cell::default(),
             ended: Cell::new(false),
+            stream: Rc::downgrade(stream),
+            key,
         }
     }
 
@@ -251,29 +282,56 @@
 }
 
 /// Why a connection has come to its end.
-struct Over;
+enum Over {
+    /// The client has closed it, or takes nothing any more.
+    Gone,
+    /// It is closed from this side: what was written last still has to arrive.
+    Closed,
+}
 
 /// Serves a client until its connection ends.
 pub async fn run(hub: Rc<Hub>, id: ClientId, stream: Async<TcpStream>, permits: [Permit; 2]) {
     let _ = stream.get_ref().set_nodelay(true);
-    let slot = Rc::new(Slot::new());
+    let stream = Rc::new(stream);
+    let slot = Rc::new(Slot::new(&stream, hub.clients.key(id)));
     hub.clients.slots.borrow_mut().insert(id, Rc::clone(&slot));
     hub.input(Input::ClientCame(id));
     let (large, faults) = (RefCell::default(), Cell::default());
     let seat = Seat { hub, id, slot, large, faults, _permits: permits };
     let mut side = ClientSide::default();
-    while let Ok(()) = turn(&seat, &stream, &mut side).await {}
+    let over = loop {
+        match turn(&seat, &stream, &mut side).await {
+            // One that sends without end would else keep the thread to itself.
+            Ok(()) => future::yield_now().await,
+            Err(over) => break over,
+        }
+    };
+    if let Over::Closed = over {
+        linger(&seat, &stream).await;
+    }
+}
+
+/// The one way in which a connection is closed from this side, once nothing is left to be answered on it.
+/// Closed over bytes that have come and are not read, a connection is reset, and the tail of the last answer
+/// may be lost: so the sending ends first, and what comes is dropped until the client closes, too. One that
+/// makes room for another is not waited for.
+async fn linger(seat: &Seat, stream: &Async<TcpStream>) {
+    seat.slot.stage.set(Stage::Leaving(Instant::now()));
+    seat.slot.begun.take();
+    seat.large.take();
+    io::part(&seat.hub, stream, seat.slot.until(|| seat.slot.ended.get().then_some(()))).await;
 }
 
 /// Tells a client that there is no descriptor for it. Without a door it is told what fits, and that is all.
 pub async fn turn_away(hub: Rc<Hub>, stream: Async<TcpStream>, door: Option<Permit>) {
     hub.clients.turned_away.set(hub.clients.turned_away.get() + 1);
+    let _ = stream.get_ref().set_nodelay(true);
     let words = client::fatal("53300", "too many connections");
     if door.is_some() && io::write(&stream, &[&words]).await.is_ok() {
         return io::part(&hub, &stream, future::pending()).await;
     }
     // What has come is read, or closing would reset the connection before the client has read its answer.
-    let _ = io::read_now(&hub, &stream);
+    let _ = io::read_now(&hub, &stream, |_| {});
     let _ = stream.get_ref().write(&words);
 }
 
@@ -283,19 +341,19 @@
         Timer::after(Duration::from_nanos(CLIENT_TAKES.0)).await;
         Err(std::io::ErrorKind::TimedOut.into())
     };
-    future::or(io::write(stream, parts), late).await.map_err(|_| Over)
+    future::or(io::write(stream, parts), late).await.map_err(|_| Over::Gone)
 }
 
-/// Says that the connection ends, and ends it.
+/// Says that the connection ends.
 async fn dismiss(seat: &Seat, stream: &Async<TcpStream>, code: &str, message: &str) -> Over {
     log::debug!("client {}: {message}", seat.id.0);
     let hub = &seat.hub;
     hub.clients.dismissed.set(hub.clients.dismissed.get() + 1);
     seat.slot.stage.set(Stage::Leaving(Instant::now()));
-    if write(stream, &[&client::fatal(code, message)]).await.is_ok() {
-        io::part(hub, stream, seat.slot.until(|| seat.slot.ended.get().then_some(()))).await;
+    match write(stream, &[&client::fatal(code, message)]).await {
+        Ok(()) => Over::Closed,
+        Err(over) => over,
     }
-    Over
 }
 
 /// Takes the next message and answers it.
@@ -311,8 +369,14 @@
     seat.slot.begun.take();
     let reply = match message {
         ClientMessage::Encryption => client::NO_ENCRYPTION.to_vec(),
-        ClientMessage::CancelRequest | ClientMessage::Terminate => return Err(Over),
-        ClientMessage::Startup { newer } => client::welcome(newer),
+        ClientMessage::CancelRequest(key) => {
+            if let Some(client) = seat.hub.clients.of_key(key) {
+                seat.hub.input(Input::Cancelled(client));
+            }
+            return Err(Over::Closed);
+        }
+        ClientMessage::Terminate => return Err(Over::Closed),
+        ClientMessage::Startup { newer } => client::welcome(newer, seat.slot.key),
         ClientMessage::Unsupported(kind) => {
             let whole = client::error("0A000", "only simple queries are served", None);
             return fault(seat, stream, if kind == b'F' { whole } else { client::unsupported() }).await;
@@ -359,8 +423,21 @@
     if side.waiting() > 0 && slot.begun.get().is_none() {
         slot.begun.set(Some(Instant::now()));
     }
+    // When the router stops, one that is in the middle of a request may finish it, and one that has only just
+    // come may ask. One that makes room for another has had its time.
+    let grace = match (side.waiting() > 0, slot.stage.get()) {
+        (true, _) => slot.begun.get().map(|since| since + Duration::from_nanos(CLIENT_WHOLE.0)),
+        (false, Stage::Unasked(since)) => Some(since + Duration::from_nanos(CLIENT_QUIET.0)),
+        (false, _) => None,
+    };
     let closing = async {
         slot.until(|| (hub.closing.get() || slot.ended.get()).then_some(())).await;
+        if let Some(grace) = grace {
+            let sleep = async {
+                Timer::at(grace).await;
+            };
+            future::or(slot.until(|| slot.ended.get().then_some(())), sleep).await;
+        }
         Ok(More::Closing)
     };
     let fill = async {
@@ -371,7 +448,7 @@
         }
         match io::read(hub, stream, |bytes| side.feed(bytes)).await {
             Ok(1..) => Ok(More::Bytes),
-            _ => Err(Over),
+            _ => Err(Over::Gone),
         }
     };
     let late = async {
@@ -388,18 +465,21 @@
     match future::or(fill, future::or(closing, late)).await? {
         More::Bytes => Ok(()),
         More::Late => Err(dismiss(seat, stream, "57P05", "no whole request has come in time").await),
-        // No whole request has been read, and none will be: for a client that asks meanwhile, that is a
-        // proof.
-        More::Closing if hub.clients.farewell.get() => {
-            seat.slot.stage.set(Stage::Leaving(Instant::now()));
-            let told = write(stream, &[&client::fatal("57P01", "closed between two requests")]).await.is_ok();
-            // One that makes room for another is not waited for.
-            if told && !slot.ended.get() {
-                io::part(hub, stream, slot.until(|| slot.ended.get().then_some(()))).await;
+        More::Closing => {
+            // What has come by this moment was taken, and is served.
+            match io::read_now(hub, stream, |bytes| side.feed(bytes)) {
+                Ok(1..) => return Ok(()),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                _ => return Err(Over::Gone),
+            }
+            // No whole request has been read, and none will be: for a client that asks meanwhile, that is a
+            // proof.
+            if hub.clients.farewell.get() {
+                seat.slot.stage.set(Stage::Leaving(Instant::now()));
+                write(stream, &[&client::fatal("57P01", "closed between two requests")]).await?;
             }
-            Err(Over)
+            Err(Over::Closed)
         }
-        More::Closing => Err(Over),
     }
 }
 
@@ -416,12 +496,16 @@
         // What comes meanwhile waits for its turn; a client that closes has gone away.
         let full = side.waiting() > LARGE;
         let fill = async {
+            // So much waits that no more is read: the end of the connection lies behind it, and is looked for.
             if full {
-                future::pending::<()>().await;
+                while !io::hung_up(stream) {
+                    Timer::after(LOOK_BEHIND).await;
+                }
+                return Err(Over::Gone);
             }
             match io::read(&seat.hub, stream, |bytes| side.feed(bytes)).await {
                 Ok(1..) => Ok(None),
-                _ => Err(Over),
+                _ => Err(Over::Gone),
             }
         };
         match future::or(ready, fill).await? {
@@ -442,6 +526,7 @@
             client::error("53300", "turned away; trying again does no harm", detail.as_deref())
         }
         Answer::Failed => client::error("58000", "no answer could be had", None),
+        Answer::Cancelled => client::error("57014", "called off at its client's wish", None),
         Answer::Invalid(e) => {
             seat.slot.stage.set(before);
             return fault(seat, stream, client::error(e.code, &e.message, None)).await;
--- /dev/null
+++ b/crates/router/src/transport/exchange/tests.rs
@@ -0,0 +1,133 @@
+use super::*;
+use crate::protocol::discovery::HostList;
+use crate::routing::ExchangeId;
+use async_executor::LocalExecutor;
+use basalthill_config::router::{parse, Reading};
+use basalthill_policy::api::{Attempt, MemberId, RequestId};
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpListener};
+
+const CONFIG: &str = include_str!("../../../../../examples/router.json");
+
+const PROBE: ExchangeId = ExchangeId::Probe(99);
+/// One of a request that is not on the books: its client has left.
+const LEFT: ExchangeId = ExchangeId::Attempt(RequestId(7), Attempt(0));
+
+/// Runs a query on a pooled connection to the one member of a list, in a state and with a grace; how it
+/// ended, and what came at the member.
+fn ended(id: ExchangeId, state: &str, grace: &str, broken: bool) -> std::io::Result<(Ended, usize)> {
+    let host = TcpListener::bind(("127.0.0.1", 0))?;
+    let addr = host.local_addr()?;
+    let text = CONFIG.replace("\"drainGrace\": 1000000000", &format!("\"drainGrace\": {grace}"));
+    // No probe takes the connection first.
+    let text = text.replace("\"probes\": true", "\"probes\": false");
+    let config = parse(text.as_bytes(), |_| None, Reading::Start).expect("a sound example");
+    let member = format!(r#"{{"id":"a","addr":"{addr}","cell":1,"state":"{state}"}}"#);
+    let list = format!(r#"{{"version":1,"full":true,"servers":[{member}]}}"#);
+    let executor = Rc::new(LocalExecutor::new());
+    let known = HostList::parse(list.as_bytes()).ok();
+    let hub = Hub::new(&config, known, &executor);
+    let stream = TcpStream::connect(addr)?;
+    let (mut far, _) = host.accept()?;
+    if broken {
+        stream.shutdown(Shutdown::Write)?;
+    }
+    let mut side = HostSide::default();
+    side.feed(b"R\0\0\0\x08\0\0\0\0Z\0\0\0\x05I");
+    assert_eq!(side.take(), Ok(Some(HostMessage::Ready)));
+    let permit = hub.budget.take().expect("a descriptor");
+    hub.pool.put(addr, HostConnection { stream: Async::new(stream)?, side, _permit: permit });
+    let query = Query::Own("SELECT 1");
+    let order = Order { id, member: MemberId(0), client: None, addr, query };
+    // The far side answers nothing: it reads what comes, up to the end, and closes.
+    let reader = std::thread::spawn(move || {
+        let mut bytes = [0; 64];
+        far.read(&mut bytes)
+    });
+    let ended = async_io::block_on(executor.run(run(&hub, order)));
+    hub.pool.close(addr);
+    Ok((ended, reader.join().expect("a reader")?))
+}
+
+#[test]
+fn a_request_that_can_not_be_written_whole_was_not_sent() -> std::io::Result<()> {
+    assert_eq!(ended(PROBE, "active", "1000000000", true)?, (Ended::NotSent, 0));
+    Ok(())
+}
+
+#[test]
+fn nothing_is_written_once_a_drains_grace_has_passed() -> std::io::Result<()> {
+    assert_eq!(ended(PROBE, "active", "0", false)?, (Ended::Broken, 14));
+    assert_eq!(ended(PROBE, "leaving", "60000000000", false)?, (Ended::Broken, 14));
+    assert_eq!(ended(PROBE, "leaving", "0", false)?, (Ended::Withheld, 0));
+    assert_eq!(ended(PROBE, "left", "0", false)?, (Ended::Withheld, 0));
+    Ok(())
+}
+
+#[test]
+fn a_want_of_descriptors_is_waited_out_and_no_failure_of_the_member() -> std::io::Result<()> {
+    let host = TcpListener::bind(("127.0.0.1", 0))?;
+    let addr = host.local_addr()?;
+    let config = parse(CONFIG.as_bytes(), |_| None, Reading::Start).expect("a sound example");
+    let executor = Rc::new(LocalExecutor::new());
+    let hub = Hub::new(&config, None, &executor);
+    let mut taken: Vec<_> = std::iter::from_fn(|| hub.budget.take()).collect();
+    let far = std::thread::spawn(move || {
+        let mut far = host.accept()?.0;
+        let mut bytes = [0; 64];
+        let _ = far.read(&mut bytes)?;
+        far.write_all(b"R\0\0\0\x08\0\0\0\0Z\0\0\0\x05I")?;
+        far.read(&mut bytes)
+    });
+    let order = Order {
+        id: ExchangeId::Probe(99),
+        member: MemberId(0),
+        client: None,
+        addr,
+        query: Query::Own("SELECT 1"),
+    };
+    let free = async {
+        // Long enough for the exchange to find nothing, and well within its time for a connection.
+        Timer::after(LOOK_AGAIN * 2).await;
+        taken.pop();
+        future::pending().await
+    };
+    let ended = async_io::block_on(executor.run(future::or(run(&hub, order), free)));
+    assert_eq!(ended, Ended::Broken, "the query was written, and the member closed");
+    assert_eq!(far.join().expect("a far side")?, 14);
+    Ok(())
+}
+
+#[test]
+fn nothing_is_written_for_a_client_that_left_while_a_connection_rested() -> std::io::Result<()> {
+    assert_eq!(ended(LEFT, "active", "1000000000", false)?, (Ended::Withheld, 0));
+    Ok(())
+}
+
+#[test]
+fn nothing_is_written_for_a_client_that_left_while_a_descriptor_was_waited_for() -> std::io::Result<()> {
+    let host = TcpListener::bind(("127.0.0.1", 0))?;
+    let addr = host.local_addr()?;
+    let config = parse(CONFIG.as_bytes(), |_| None, Reading::Start).expect("a sound example");
+    let executor = Rc::new(LocalExecutor::new());
+    let hub = Hub::new(&config, None, &executor);
+    let mut taken: Vec<_> = std::iter::from_fn(|| hub.budget.take()).collect();
+    let far = std::thread::spawn(move || {
+        let mut far = host.accept()?.0;
+        let mut bytes = [0; 64];
+        let _ = far.read(&mut bytes)?;
+        far.write_all(b"R\0\0\0\x08\0\0\0\0Z\0\0\0\x05I")?;
+        far.read(&mut bytes)
+    });
+    let order = Order { id: LEFT, member: MemberId(0), client: None, addr, query: Query::Own("SELECT 1") };
+    let free = async {
+        Timer::after(LOOK_AGAIN * 2).await;
+        taken.pop();
+        future::pending().await
+    };
+    let ended = async_io::block_on(executor.run(future::or(run(&hub, order), free)));
+    assert_eq!(ended, Ended::Withheld);
+    hub.pool.close(addr);
+    assert_eq!(far.join().expect("a far side")?, 0, "the connection was made, and nothing written to it");
+    Ok(())
+}
--- a/crates/router/src/transport/io.rs
+++ b/crates/router/src/transport/io.rs
@@ -3,6 +3,7 @@
 use super::Hub;
 use async_io::{Async, Timer};
 use futures_lite::future;
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::future::Future;
 use std::io::{self, ErrorKind, IoSlice, Read, Write};
 use std::net::{Shutdown, TcpStream};
@@ -23,9 +24,27 @@
         .await
 }
 
-/// Reads off what has come, without waiting.
-pub fn read_now(hub: &Hub, stream: &Async<TcpStream>) -> io::Result<usize> {
-    stream.get_ref().read(&mut hub.scratch.borrow_mut())
+/// Reads off what has come and feeds it, without waiting.
+pub fn read_now(hub: &Hub, stream: &Async<TcpStream>, feed: impl FnOnce(&[u8])) -> io::Result<usize> {
+    let mut scratch = hub.scratch.borrow_mut();
+    let n = stream.get_ref().read(&mut scratch)?;
+    feed(&scratch[..n]);
+    Ok(n)
+}
+
+/// Whether the other side has ended the connection and all that it sent before has been read.
+pub fn ended(stream: &Async<TcpStream>) -> bool {
+    match stream.get_ref().peek(&mut [0]) {
+        Ok(n) => n == 0,
+        Err(e) => !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
+    }
+}
+
+/// Whether the other side has ended the connection, however much of what it sent before is still unread.
+pub fn hung_up(stream: &Async<TcpStream>) -> bool {
+    let gone = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+    let mut polled = [PollFd::new(stream.get_ref(), gone)];
+    poll(&mut polled, Some(&Timespec::default())).is_ok_and(|n| n > 0) && polled[0].revents().intersects(gone)
 }
 
 /// Writes all parts in order, from where they lie.
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -16,7 +16,9 @@
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use basalthill_config::own::FleetSettings;
-use basalthill_config::router::{stop_limit, RouterConfig, ANSWER_REST, IDLE_SHARE, STOP_SERVING};
+use basalthill_config::router::{
+    stop_limit, RouterConfig, ANSWER_REST, IDLE_SHARE, READY_WITHIN, STOP_SERVING,
+};
 use basalthill_policy::api::Time;
 use basalthill_session::Counts;
 use budget::{Budget, Permit};
@@ -29,7 +31,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
-use std::net::TcpListener;
+use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use watch::Following;
@@ -40,6 +42,8 @@
 const TELL_EVERY: Duration = Duration::from_secs(10);
 /// After a failed accept, the listener rests this long.
 const ACCEPT_REST: Duration = Duration::from_millis(10);
+/// So long at most are connections taken in that the machine still holds as the router stops listening.
+const LAST_CALL: Duration = Duration::from_millis(50);
 /// Bytes read at a time.
 const READ_AT_ONCE: usize = 16 * 1024;
 
@@ -91,6 +95,8 @@
     link: RefCell<Option<Link>>,
     alarm: Alarm,
     settled: Signal,
+    /// No more clients are taken in than have come.
+    last_call: Signal,
     closing: Cell<bool>,
     connect_timeout: Duration,
 }
@@ -118,6 +124,7 @@
             link: RefCell::default(),
             alarm: Alarm::default(),
             settled: Signal::default(),
+            last_call: Signal::default(),
             closing: Cell::new(false),
             connect_timeout,
         });
@@ -308,7 +315,11 @@
     let stopped = hub.clock.now();
     log::info!("stopping: {} requests unanswered", hub.router.borrow().unanswered());
     Timer::after(Duration::from_nanos(STOP_SERVING.0)).await;
-    drop(listening);
+    // What the machine has accepted by now is taken in; no more comes after that.
+    hub.last_call.notify();
+    if let Some(listening) = listening {
+        listening.await;
+    }
     hub.closing.set(true);
     hub.clients.wake();
     let done = async {
@@ -330,36 +341,69 @@
     log::info!("stopped");
 }
 
-/// Takes clients in. Until a list is there, known or told, connections wait: ready means that members are
-/// known.
+/// Takes clients in, up to the note that no more are to come. Until a list is there, known or told,
+/// connections wait, but not for ever: without one, requests are turned away.
 async fn accept(hub: Rc<Hub>, listener: Async<TcpListener>, named: bool) {
+    let mut count = 0;
     if !named {
-        hub.following.listed.wait().await;
+        let listed = async {
+            hub.following.listed.wait().await;
+            true
+        };
+        let late = async {
+            Timer::after(Duration::from_nanos(READY_WITHIN.0)).await;
+            false
+        };
+        let stop = async {
+            hub.last_call.wait().await;
+            // For the loop below.
+            hub.last_call.notify();
+            true
+        };
+        if !future::or(stop, future::or(listed, late)).await {
+            log::warn!("no list of members has come; requests are turned away until one does");
+        }
     }
-    let mut count = 0;
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
+        let next = async { Some(listener.accept().await) };
+        let stop = async {
+            hub.last_call.wait().await;
+            None
+        };
+        match future::or(stop, next).await {
+            Some(Ok((stream, _))) => {
                 count += 1;
-                let task = match hub.clients.seat(&hub).await {
-                    Some(permits) => {
-                        hub.spawn(client::run(Rc::clone(&hub), ClientId(count), stream, permits))
-                    }
-                    // A few are turned away gently at a time, or they would hold more descriptors than there
-                    // are; accepting never waits for them.
-                    None => hub.spawn(client::turn_away(Rc::clone(&hub), stream, hub.clients.doors.take())),
-                };
-                task.into_iter().for_each(Task::detach);
-                // Many may come at once: others get their turn in between.
-                future::yield_now().await;
+                admit(&hub, ClientId(count), stream, client::SEAT_TRIES).await;
             }
-            Err(e) => {
+            Some(Err(e)) => {
                 log::warn!("accept: {e}");
                 hub.pool.close_oldest();
                 Timer::after(ACCEPT_REST).await;
             }
+            None => break,
         }
     }
+    // Those that the machine has accepted would be reset as the listener closes. More may come without end.
+    let until = Instant::now() + LAST_CALL;
+    while let (true, Ok((stream, _))) = (Instant::now() < until, listener.get_ref().accept()) {
+        if let Ok(stream) = Async::new(stream) {
+            count += 1;
+            admit(&hub, ClientId(count), stream, 1).await;
+        }
+    }
+}
+
+/// Gives a connection its task. Room for it is looked for so often.
+async fn admit(hub: &Rc<Hub>, id: ClientId, stream: Async<TcpStream>, tries: u32) {
+    let task = match hub.clients.seat(hub, tries).await {
+        Some(permits) => hub.spawn(client::run(Rc::clone(hub), id, stream, permits)),
+        // A few are turned away gently at a time, or they would hold more descriptors than there are;
+        // accepting never waits for them.
+        None => hub.spawn(client::turn_away(Rc::clone(hub), stream, hub.clients.doors.take())),
+    };
+    task.into_iter().for_each(Task::detach);
+    // Many may come at once: others get their turn in between.
+    future::yield_now().await;
 }
 
 /// Lets routing's timers fire, never early.
@@ -418,3 +462,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/router/src/transport/tests.rs
@@ -0,0 +1,21 @@
+use super::*;
+use basalthill_config::router::{parse, Reading};
+
+const CONFIG: &str = include_str!("../../../../examples/router.json");
+
+#[test]
+fn what_the_machine_has_accepted_is_taken_in_before_the_listener_closes() -> std::io::Result<()> {
+    let listener = TcpListener::bind(("127.0.0.1", 0))?;
+    let addr = listener.local_addr()?;
+    let config = parse(CONFIG.as_bytes(), |_| None, Reading::Start).expect("a sound example");
+    let executor = Rc::new(LocalExecutor::new());
+    let hub = Hub::new(&config, None, &executor);
+    let waiting: std::io::Result<Vec<TcpStream>> = (0..50).map(|_| TcpStream::connect(addr)).collect();
+    let waiting = waiting?;
+    // The note comes before any of them has been looked at.
+    hub.last_call.notify();
+    async_io::block_on(executor.run(accept(Rc::clone(&hub), Async::new(listener)?, true)));
+    assert_eq!(hub.clients.count(), waiting.len());
+    hub.executor.borrow_mut().take();
+    Ok(())
+}
--- a/crates/router/tests/platform.rs
+++ b/crates/router/tests/platform.rs
@@ -1,7 +1,7 @@
 //! What the platform asks of the one process that `run` starts, held without the platform: what it loads,
 //! which calls it can do without, what it starts, and that it rests when nothing is asked of it.
 
-use basalthill_standin::client::{Answer, Client};
+use basalthill_standin::client::{query, Answer, Client};
 use basalthill_standin::fleet::{Load, Way, World};
 use basalthill_standin::group::Manner;
 use basalthill_standin::PATIENCE;
@@ -12,6 +12,7 @@
 };
 use std::collections::BTreeMap;
 use std::fs;
+use std::io::Write;
 use std::path::Path;
 use std::time::{Duration, Instant};
 
@@ -148,3 +149,50 @@
     let after = world.routers[0].resident_kib().unwrap();
     assert!(after < before + 1024, "{before} KiB after 3,000 reads, {after} KiB after 12,000");
 }
+
+/// Clients that send without reading, some that say nothing, and one whose value is long and comes slowly.
+fn rude(addr: std::net::SocketAddr) -> Vec<Client> {
+    let mut clients: Vec<Client> = (0..24).map(|_| Client::connect(addr).unwrap()).collect();
+    for client in &mut clients[..8] {
+        client.stream.set_write_timeout(Some(Duration::from_millis(20))).unwrap();
+        let many: Vec<u8> = (0..2000).flat_map(|_| query("")).collect();
+        while client.stream.write_all(&many).is_ok() {}
+    }
+    for client in &mut clients[8..16] {
+        let long = query(&format!("SELECT {}", "7".repeat(150_000)));
+        let _ = client.stream.write_all(&long[..100_000]);
+    }
+    clients
+}
+
+#[test]
+fn after_floods_and_slow_clients_memory_and_descriptors_are_back_where_they_were() {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let world = World::start(Path::new(PROGRAM), folder, 1, Manner::default(), None).unwrap();
+    let router = &world.routers[0];
+    let held = || fs::read_dir(format!("/proc/{}/fd", router.id())).unwrap().count();
+    ask(&world, 0);
+    drop(rude(router.addr));
+    let (mut before, mut n) = ((0, 0), 0);
+    for round in 0..4 {
+        let clients = rude(router.addr);
+        for _ in 0..20 {
+            n += 1;
+            let began = Instant::now();
+            ask(&world, n);
+            assert!(began.elapsed() < Duration::from_millis(500), "{:?}", began.elapsed());
+        }
+        drop(clients);
+        let until = Instant::now() + PATIENCE;
+        // Clients have gone; what idles towards hosts may stay.
+        while round > 0 && held() > before.0 + 8 {
+            assert!(Instant::now() < until, "{} descriptors, {} before", held(), before.0);
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        if round == 0 {
+            before = (held(), router.resident_kib().unwrap());
+        }
+    }
+    let after = router.resident_kib().unwrap();
+    assert!(after < before.1 + 2048, "{} KiB, then {after} KiB", before.1);
+}
--- a/crates/router/tests/program.rs
+++ b/crates/router/tests/program.rs
@@ -10,6 +10,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
 
 fn program() -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_basalthill"));
@@ -150,6 +151,93 @@
     assert_eq!(child.wait().unwrap().code(), Some(0));
 }
 
+#[test]
+fn a_signal_that_comes_while_the_address_is_waited_for_is_heard() {
+    let host = Host::start(|_| (Reply::Row(b"x1=1".to_vec()), Vec::new())).unwrap();
+    let held = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut child = spawned(&host, &held.local_addr().unwrap().to_string());
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+    assert!(lines.any(|line| line.unwrap().contains("is in use")));
+    let began = Instant::now();
+    signal(&child, "TERM");
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+    assert!(began.elapsed() < Duration::from_secs(2), "{:?}", began.elapsed());
+}
+
+/// Requests are out at hosts that hang, and others behind them: each gets its answer, and the program ends in
+/// time, whatever further signals come.
+#[test]
+fn on_sigterm_with_hosts_that_hang_all_is_answered_and_it_ends_in_time() {
+    let host = Host::start(|text| match text {
+        "SHOW vitals" => (Reply::Row(b"x1=1".to_vec()), Vec::new()),
+        _ => (Reply::Silence, Vec::new()),
+    })
+    .unwrap();
+    let (mut child, addr) = started(&host);
+    let mut clients: Vec<Client> = (0..30).map(|_| Client::connect(addr).unwrap()).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        let patience = ["d=300", "d=1500", "d=2900"][n % 3];
+        let write = text("write", "").replace("id=9", &format!("id={n:02}"));
+        client.send(&write.replace("d=480", patience)).unwrap();
+    }
+    host.saw("INSERT").unwrap();
+    let began = Instant::now();
+    signal(&child, "TERM");
+    signal(&child, "HUP");
+    signal(&child, "TERM");
+    for (n, client) in clients.iter_mut().enumerate() {
+        assert!(matches!(client.answer().unwrap(), Answer::Error(..)), "client {n}");
+        assert!(client.ended(), "client {n}");
+    }
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+    // The longest deadline, three seconds at most, and what the operators leave beyond it.
+    assert!(began.elapsed() < Duration::from_millis(3700), "{:?}", began.elapsed());
+}
+
+/// Ready means that a client's empty query is answered. Without any list of members requests are turned away.
+#[test]
+fn restarted_while_discovery_is_down_it_is_ready_in_time_whatever_list_it_had() {
+    let host = Host::start(|_| (Reply::Row(b"x1=1".to_vec()), vec![("rank", "source".into())])).unwrap();
+    let gone = host.addr.to_string();
+    let stale = list(1, true, &[("s-1", host.addr, 2, "active", "source")]);
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let nobody: SocketAddr = "127.0.0.1:1".parse().unwrap();
+    let empty = list(1, true, &[]);
+    let cases = [
+        ("null", nobody, false),
+        ("null", silent.local_addr().unwrap(), false),
+        (empty.as_str(), nobody, false),
+        (stale.as_str(), nobody, true),
+        (stale.as_str(), silent.local_addr().unwrap(), true),
+    ];
+    let start = |n: usize, known: &str, discovery: SocketAddr| {
+        let text = format!(r#"{{"seed":"1","known":{known},"settings":{SETTINGS}}}"#);
+        let child = program()
+            .env("BALANCER_NAME", "n1")
+            .env("BALANCER_LISTEN", "127.0.0.1:0")
+            .env("BALANCER_DISCOVERY", discovery.to_string())
+            .env("BALANCER_CONFIG", file(&format!("ready-{n}-{}", host.addr.port()), &text))
+            .stderr(Stdio::piped())
+            .spawn();
+        let mut child = Guard(child.unwrap());
+        let addr = after(child.0.stderr.take().unwrap(), "listens on ");
+        (child, addr)
+    };
+    let began = Instant::now();
+    let started: Vec<_> = cases.iter().enumerate().map(|(n, c)| start(n, c.0, c.1)).collect();
+    for ((known, discovery, served), (_child, addr)) in cases.iter().zip(&started) {
+        let case = format!("known {known:.40}, discovery {discovery}");
+        let mut client = Client::connect(*addr).unwrap();
+        assert_eq!(client.ask("").unwrap(), Answer::Empty, "{case}");
+        assert!(began.elapsed() < Duration::from_secs(8), "{case}: {:?}", began.elapsed());
+        let answer = client.ask(&text("write", "")).unwrap();
+        match served {
+            true => assert_eq!(answer, Answer::Row(b"x1=1".to_vec()), "{case}, {gone}"),
+            false => assert!(matches!(&answer, Answer::Error(code, Some(_)) if code == "53300"), "{case}"),
+        }
+    }
+}
+
 #[test]
 fn on_sighup_the_file_is_read_again_and_an_unsound_one_changes_nothing() {
     let host = Host::start(|_| (Reply::Row(b"x1=1".to_vec()), Vec::new())).unwrap();
--- a/crates/router/tests/routing.rs
+++ b/crates/router/tests/routing.rs
@@ -359,7 +359,10 @@
     assert!(d.router.may_write(d.now, ExchangeId::Probe(0), MemberId(0)), "it is back in service");
     d.list(hosts(5, true, &both("active")[1..]));
     d.pass(1000);
-    assert!(!d.router.may_write(d.now, MemberId(0)), "one absent from a whole list has gone");
+    assert!(
+        !d.router.may_write(d.now, ExchangeId::Probe(0), MemberId(0)),
+        "one absent from a whole list has gone"
+    );
 }
 
 #[test]
@@ -631,7 +634,7 @@
 fn a_decision_holds_no_longer_than_its_members_grace() {
     let mut d = Driven::new();
     d.router.serve_proxies(d.now, DESK);
-    d.input(Input::List(hosts(2, false, &[("s-1", PRIMARY, "leaving", "source")])));
+    d.list(hosts(2, false, &[("s-1", PRIMARY, "leaving", "source")]));
     let told = d.now;
     d.pass(900);
     if let Some((_, addr, by)) = named(&d.proxy_asks(1)) {
@@ -644,3 +647,49 @@
     d.pass(200);
     assert!(named(&d.proxy_asks(2)).is_none_or(|n| n.1 != PRIMARY.parse().unwrap()), "and none after it");
 }
+
+#[test]
+fn what_its_client_has_left_or_called_off_may_not_be_written_any_more() {
+    for off in [Input::ClientGone(ClientId(1)), Input::Cancelled(ClientId(1))] {
+        let mut d = Driven::new();
+        // Of an effect that is not safe: the attempt goes on, and may wait for its connection.
+        let (id, _, _) = d.attempt(1, "write");
+        assert!(d.router.may_write(d.now, id, MemberId(0)));
+        let cancelled = matches!(off, Input::Cancelled(_));
+        let effects = d.input(off);
+        assert!(!d.router.may_write(d.now, id, MemberId(0)));
+        let answers = effects.iter().filter(|e| matches!(e, Effect::Answer(_, Answer::Cancelled))).count();
+        assert_eq!(answers, usize::from(cancelled), "{effects:?}");
+        let effects = d.end(id, Ended::Withheld);
+        assert!(begun(&effects).iter().all(|b| !is_attempt(b.0)), "{effects:?}");
+        d.pass(4000);
+        assert_eq!(d.router.books().0, 0);
+    }
+}
+
+#[test]
+fn what_idles_at_a_host_that_has_restarted_or_moved_is_closed() {
+    let mut d = Driven::new();
+    let closed = |effects: &[Effect]| {
+        let addr = |e: &Effect| if let Effect::CloseIdle(addr) = e { Some(addr.to_string()) } else { None };
+        effects.iter().filter_map(addr).collect::<Vec<_>>()
+    };
+    let mut again = hosts(2, false, &[("s-2", COPY, "active", "copy")]);
+    again.servers[0].started_ms = START.0 / 1_000_000;
+    assert_eq!(closed(&d.list(again.clone())), [COPY]);
+    assert_eq!(closed(&d.list(again)), [""; 0], "once for each start");
+    let moved = hosts(3, false, &[("s-1", "127.0.0.1:7009", "active", "source")]);
+    assert_eq!(closed(&d.list(moved)), [PRIMARY]);
+}
+
+#[test]
+fn before_any_list_requests_are_turned_away_and_none_is_called_wrong() {
+    let mut out = Vec::new();
+    let router = Router::new(START, site(), sessions(), 7, None, &mut out);
+    let mut d = Driven { router, now: START };
+    let effects = d.ask(1, "write", "");
+    assert!(effects.iter().any(|e| matches!(e, Effect::Answer(_, Answer::Refused(Some(_))))), "{effects:?}");
+    d.list(hosts(1, true, &[("s-1", PRIMARY, "active", "source")]));
+    let effects = d.ask(1, "write", ",cluster=9");
+    assert!(effects.iter().any(|e| matches!(e, Effect::Answer(_, Answer::Invalid(_)))), "{effects:?}");
+}
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -42,6 +42,8 @@
     pub accepted: usize,
     /// Connections that are open.
     pub open: usize,
+    /// Connections that come are accepted, and not welcomed while this holds.
+    pub aloof: bool,
     released: bool,
 }
 
@@ -133,6 +135,7 @@
     stream.read_exact(&mut head)?;
     let mut startup = vec![0; (u32::from_be_bytes(head) as usize).saturating_sub(4).min(10_000)];
     stream.read_exact(&mut startup)?;
+    seen.wait(|s| (!s.aloof).then_some(()));
     let ready = message(b'Z', b"I");
     let welcome =
         [message(b'R', &[0; 4]), parameter("server_version", "15.0"), message(b'K', &[0; 8])].concat();
