--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -720,7 +720,7 @@
         let (Some(job), Some(m)) = (self.jobs.get_mut(&id), self.members.get_mut(&member)) else { return };
         self.held.remove(&(group, id));
         let limit = job.req.give_up.since(now.plus(self.set.tick)).max(self.set.tick);
-        // A repeat that its member takes up after the window would be a second effect: it is given up by then.
+        // A repeat that its member takes up past the window would be a second effect: it is given up by then.
         let class = &self.set.classes[job.c];
         let keyed = class.effect == Effect::Keyed;
         let left = job.window_left(now.plus(self.set.tick), class.window);
--- a/crates/policy/tests/cold.rs
+++ b/crates/policy/tests/cold.rs
@@ -1,5 +1,5 @@
-//! A cold member falls under the sum of what all routers send. Thirty of them, without talk, in simulated time,
-//! held against the budget that the settings allow and what may be put down to chance.
+//! A cold member falls under the sum of what all routers send. Thirty of them, without talk, in simulated
+//! time, held against the budget that the settings allow and what may be put down to chance.
 
 mod common;
 
--- a/crates/router/src/protocol/discovery.rs
+++ b/crates/router/src/protocol/discovery.rs
@@ -138,8 +138,8 @@
         self.stage != Stage::Head
     }
 
-    /// The next line that is whole. A list may be indented, over many lines: one that is not over goes on with
-    /// the next, and is looked at again where it may end.
+    /// The next line that is whole. A list may be indented, over many lines: one that is not over goes on
+    /// with the next, and is looked at again where it may end.
     fn line(&mut self) -> Result<Option<WatchMessage>, ProtocolError> {
         while let Some(end) = self.line[self.seen..].iter().position(|b| *b == b'\n') {
             let (first, end) = (self.seen == 0, self.seen + end + 1);
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -496,7 +496,7 @@
         // What comes meanwhile waits for its turn; a client that closes has gone away.
         let full = side.waiting() > LARGE;
         let fill = async {
-            // So much waits that no more is read: the end of the connection lies behind it, and is looked for.
+            // So much waits that no more is read: the connection's end lies behind it, and is looked for.
             if full {
                 while !io::hung_up(stream) {
                     Timer::after(LOOK_BEHIND).await;
--- a/crates/router/tests/list_moments.rs
+++ b/crates/router/tests/list_moments.rs
@@ -1,5 +1,5 @@
-//! Rare moments of the list: watches that fall silent, drip, end or hang, discovery that is away and comes back
-//! or moves, lists that are old or came late. A host's own record judges.
+//! Rare moments of the list: watches that fall silent, drip, end or hang, discovery that is away and comes
+//! back or moves, lists that are old or came late. A host's own record judges.
 
 mod common;
 
