--- a/crates/router/src/transport/watch.rs
+++ b/crates/router/src/transport/watch.rs
@@ -24,8 +24,8 @@
 const HEAD_WITHIN: Duration = Duration::from_millis(1200);
 const REST_FIRST: Duration = Duration::from_millis(50);
 /// What discovery has counts as told 6 s after it can be reached, whatever became of calls before. The
-/// longest way to it: a silent watch (2.25 s), a rest, a call that is given up (1.2 s before its head, 2.25 s after
-/// it), a rest, one that is refused, a rest, and the call that tells: 5.1 s.
+/// longest way to it: a silent watch (2.25 s), a rest, a call that is given up (1.2 s before its head, 2.25 s
+/// after it), a rest, one that is refused, a rest, and the call that tells: 5.1 s.
 const REST_MOST: Duration = Duration::from_millis(500);
 
 /// Where discovery is followed.
