A stop ends though clients send without a pause; calls for lists keep their time

After one more look for what has come by then, a connection of a router that stops is closed between two requests.

A call's time for its head began before the wait for all routers' budget of such calls (only where a fleet is named): it begins with the call.

--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -49,6 +49,8 @@
     /// When the first byte of the message came that is not whole yet.
     begun: Cell<Option<Instant>>,
     ended: Cell<bool>,
+    /// The router stops, and it has been looked once more for what had come by then.
+    looked: Cell<bool>,
     /// Its socket, while its task goes on.
     stream: Weak<Async<TcpStream>>,
     key: CancelKey,
@@ -193,6 +195,7 @@
             stage: Cell::new(Stage::Unasked(Instant::now())),
             begun: Cell::default(),
             ended: Cell::new(false),
+            looked: Cell::new(false),
             stream: Rc::downgrade(stream),
             key,
         }
@@ -423,6 +426,8 @@
     if side.waiting() > 0 && slot.begun.get().is_none() {
         slot.begun.set(Some(Instant::now()));
     }
+    // One that sends without a pause would else keep a router that stops for as long as it may take.
+    let looked = hub.closing.get() && side.waiting() == 0 && slot.looked.replace(true);
     // When the router stops, one that is in the middle of a request may finish it, and one that has only just
     // come may ask. One that makes room for another has had its time.
     let grace = match (side.waiting() > 0, slot.stage.get()) {
@@ -462,15 +467,25 @@
         }
         Ok(More::Late)
     };
-    match future::or(fill, future::or(closing, late)).await? {
+    let done = async {
+        if looked {
+            Ok(More::Closing)
+        } else {
+            future::pending().await
+        }
+    };
+    let what = future::or(done, future::or(fill, future::or(closing, late))).await?;
+    match what {
         More::Bytes => Ok(()),
         More::Late => Err(dismiss(seat, stream, "57P05", "no whole request has come in time").await),
         More::Closing => {
             // What has come by this moment was taken, and is served.
-            match io::read_now(hub, stream, |bytes| side.feed(bytes)) {
-                Ok(1..) => return Ok(()),
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-                _ => return Err(Over::Gone),
+            if !looked {
+                match io::read_now(hub, stream, |bytes| side.feed(bytes)) {
+                    Ok(1..) => return Ok(()),
+                    Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                    _ => return Err(Over::Gone),
+                }
             }
             // No whole request has been read, and none will be: for a client that asks meanwhile, that is a
             // proof.
--- a/crates/router/src/transport/watch.rs
+++ b/crates/router/src/transport/watch.rs
@@ -144,14 +144,12 @@
     heard: &mut Time,
     told: &mut bool,
 ) -> End {
-    let began = Instant::now();
-    let stream = match ask(hub, addr, &watch_request(&addr.to_string(), *version)).await {
-        Ok(stream) => stream,
+    let (stream, mut until) = match ask(hub, addr, &watch_request(&addr.to_string(), *version)).await {
+        Ok(asked) => asked,
         Err(end) => return end,
     };
     let mut side = WatchSide::default();
     let mut over = None;
-    let mut until = began + HEAD_WITHIN;
     let (mut head, mut first) = (false, true);
     loop {
         let message = side.take();
@@ -216,11 +214,9 @@
 }
 
 async fn fetch(hub: &Rc<Hub>, addr: SocketAddr) -> Result<(), End> {
-    let began = Instant::now();
     let asked = hub.clock.now();
-    let stream = ask(hub, addr, &list_request(&addr.to_string())).await?;
+    let (stream, mut until) = ask(hub, addr, &list_request(&addr.to_string())).await?;
     let mut side = WatchSide::default();
-    let mut until = began + HEAD_WITHIN;
     let mut head = false;
     loop {
         let message = side.take().map_err(|e| End::Unreadable(e.to_string()))?;
@@ -246,20 +242,22 @@
     }
 }
 
-/// Connects and writes a request, once all routers' budget for such calls has one for it.
-async fn ask(hub: &Hub, addr: SocketAddr, request: &[u8]) -> Result<Async<TcpStream>, End> {
+/// Connects and writes a request, once all routers' budget for such calls has one for it; with the time by
+/// which the answer's head is due.
+async fn ask(hub: &Hub, addr: SocketAddr, request: &[u8]) -> Result<(Async<TcpStream>, Instant), End> {
     // A router that has just started calls whatever the others do: it could not serve else.
     while hub.following.called.replace(true)
         && !hub.router.borrow_mut().spends(hub.clock.now(), Budget::ListCalls)
     {
         Timer::after(LOOK_AGAIN).await;
     }
+    let until = Instant::now() + HEAD_WITHIN;
     let asked = async {
         let stream = Async::<TcpStream>::connect(addr).await?;
         io::write(&stream, &[request]).await?;
-        Ok(stream)
+        Ok((stream, until))
     };
-    future::or(asked, silent(Instant::now() + HEAD_WITHIN)).await
+    future::or(asked, silent(until)).await
 }
 
 async fn silent<T>(until: Instant) -> Result<T, End> {
--- a/crates/router/tests/client_moments.rs
+++ b/crates/router/tests/client_moments.rs
@@ -228,6 +228,22 @@
     let _ = rest(&mut slow.stream);
 }
 
+#[test]
+fn clients_that_send_without_a_pause_do_not_hold_up_a_stop() {
+    let host = host(|_| Reply::Row(b"x".to_vec()));
+    let mut served = Served::of(&host);
+    let busy = Arc::new(AtomicBool::new(true));
+    flood(served.addr, 3, &busy);
+    let mut sentinel = served.client();
+    assert_eq!(sentinel.ask(&write("before")).unwrap(), row(b"x"));
+    let began = Instant::now();
+    served.stop();
+    assert!(served.over.wait(|o| o.then_some(())).is_some());
+    // Half a second of service, and another for those that are on their way out.
+    assert!(began.elapsed() < Duration::from_secs(2), "{:?}", began.elapsed());
+    busy.store(false, Ordering::Relaxed);
+}
+
 #[test]
 fn at_the_end_of_a_stop_requests_behind_others_are_answered_too() {
     let host = host(|_| Reply::Silence);
