--- /dev/null
+++ b/crates/router/tests/effect_moments.rs
@@ -0,0 +1,142 @@
+//! No effect twice, by a host's own record: connections cut before, in and after a request's last byte, and
+//! windows for repeats that are shorter than a connect. A slow host takes nothing from others.
+
+mod common;
+
+use basalthill_standin::client::{startup, Answer, Client};
+use basalthill_standin::discovery::{list, Discovery};
+use basalthill_standin::host::{Host, Reply};
+use basalthill_standin::{unix_ms, Watched};
+use common::served::{code, host, primary, row, Served};
+use common::{text, SETTINGS};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+fn write(id: &str) -> String {
+    text("write", "").replace("id=9", &format!("id={id}")).replace("d=480", "d=2900")
+}
+
+/// A router of one host, with settings.
+fn served(addr: SocketAddr, settings: &str) -> Served {
+    let known = list(1, true, &[("s-1", addr, 2, "active", "source")]);
+    let discovery = Discovery::start(known.clone()).unwrap();
+    Served::start(&known, discovery.addr, 256, settings)
+}
+
+/// A host that welcomes all, answers probes, and reads so many bytes of a statement (all of it at `None`) before it
+/// closes. It keeps the statements that have come whole.
+fn cuts(after: Option<usize>) -> (SocketAddr, Arc<Watched<Vec<String>>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let whole = Arc::new(Watched::<Vec<String>>::default());
+    let seen = Arc::clone(&whole);
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let seen = Arc::clone(&seen);
+            std::thread::spawn(move || drop(cut(stream, after, &seen)));
+        }
+    });
+    (addr, whole)
+}
+
+fn cut(mut stream: TcpStream, after: Option<usize>, seen: &Watched<Vec<String>>) -> std::io::Result<()> {
+    stream.read_exact(&mut vec![0; startup().len()])?;
+    stream.write_all(b"R\0\0\0\x08\0\0\0\0Z\0\0\0\x05I")?;
+    loop {
+        let mut head = [0; 5];
+        stream.read_exact(&mut head)?;
+        let len = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize - 4;
+        let mut body = vec![0; len.min(64)];
+        stream.read_exact(&mut body)?;
+        if body.starts_with(b"SHOW vitals") {
+            let report = format!("x0={}.0,x1=1", unix_ms() / 1000);
+            let rows = basalthill_standin::host::row(report.as_bytes());
+            stream.write_all(&[&rows[..], b"Z\0\0\0\x05I"].concat())?;
+            continue;
+        }
+        let rest = after.unwrap_or(len).saturating_sub(body.len()).min(len - body.len());
+        let mut more = vec![0; rest];
+        stream.read_exact(&mut more)?;
+        body.extend(more);
+        if body.len() == len {
+            seen.change(|s| s.push(String::from_utf8_lossy(&body).into_owned()));
+        }
+        return Ok(());
+    }
+}
+
+#[test]
+fn an_unsafe_write_over_cut_connections_comes_whole_once_at_most() {
+    for after in [Some(64), Some(1000), Some(60_000), None] {
+        let (addr, whole) = cuts(after);
+        let served = served(addr, SETTINGS);
+        for (n, size) in [40, 2_000, 65_536].into_iter().enumerate() {
+            let statement = write(&format!("cut{n}")).replace("9f03", &"9f".repeat(size));
+            let answer = served.client().ask(&statement).unwrap();
+            let came = whole.lock().iter().filter(|t| t.contains(&format!("id=cut{n}"))).count();
+            assert!(came <= 1, "cut after {after:?} of {size}: {came} times");
+            // Only what can't have run is called harmless to ask again.
+            assert!(came == 0 || code(&answer) == "58000", "cut after {after:?} of {size}: {answer:?}");
+        }
+    }
+}
+
+#[test]
+fn a_keyed_write_is_not_repeated_past_its_window_over_a_connection_that_comes_up_late() {
+    let host = Host::start(|text| match text {
+        "SHOW vitals" => (Reply::Last(format!("x0={}.0,x1=1", unix_ms() / 1000).into_bytes()), Vec::new()),
+        text if text.contains("id=short") => (Reply::Break, Vec::new()),
+        _ => (Reply::Last(b"x".to_vec()), primary()),
+    })
+    .unwrap();
+    let window = Duration::from_millis(300);
+    let keyed = SETTINGS.replace(
+        "\"effect\": \"at_most_once\"",
+        "\"effect\": \"deduplicated\", \"keyScope\": \"all\", \"window\": 300000000",
+    );
+    let keyed = keyed.replace("\"connectTimeout\": 250000000", "\"connectTimeout\": 2000000000");
+    let served = served(host.addr, &keyed);
+    assert_eq!(served.client().ask(&write("first")).unwrap(), row(b"x"));
+    let mut client = served.client();
+    client.send(&write("short")).unwrap();
+    host.saw("id=short").unwrap();
+    // Its connection has broken after the last byte; the next ones come up late, after the window.
+    host.seen.change(|s| s.aloof = true);
+    std::thread::sleep(window + Duration::from_millis(100));
+    host.seen.change(|s| s.aloof = false);
+    assert!(matches!(client.answer().unwrap(), Answer::Error(..)));
+    assert_eq!(served.client().ask(&write("after")).unwrap(), row(b"x"));
+    let seen = host.seen.lock();
+    let times: Vec<_> =
+        seen.statements.iter().zip(&seen.times).filter(|((_, t), _)| t.contains("id=short")).collect();
+    let span = *times.last().unwrap().1 - *times[0].1;
+    assert!(span < window, "{} came, the last {span:?} after the first", times.len());
+}
+
+#[test]
+fn a_host_whose_connections_come_up_slowly_takes_no_time_from_others() {
+    let (slow, quick) = (host(|_| Reply::Row(b"x".to_vec())), host(|_| Reply::Row(b"x".to_vec())));
+    slow.seen.change(|s| s.aloof = true);
+    let members = [("s-1", quick.addr, 2, "active", "source"), ("s-2", slow.addr, 3, "active", "source")];
+    let known = list(1, true, &members);
+    let discovery = Discovery::start(known.clone()).unwrap();
+    let served = Served::start(&known, discovery.addr, 256, SETTINGS);
+    let mut waiting: Vec<Client> = (0..40)
+        .map(|n| {
+            let mut client = served.client();
+            client.send(&write(&format!("slow{n}")).replace("cluster=2", "cluster=3")).unwrap();
+            client
+        })
+        .collect();
+    for n in 0..50 {
+        let began = Instant::now();
+        assert_eq!(served.client().ask(&write(&format!("quick{n}"))).unwrap(), row(b"x"));
+        assert!(began.elapsed() < Duration::from_millis(400), "{:?}", began.elapsed());
+    }
+    for client in &mut waiting {
+        assert!(matches!(client.answer().unwrap(), Answer::Error(..)), "given up in its time");
+    }
+    assert_eq!(slow.count("INSERT"), 0);
+}
