--- a/crates/router/tests/effect_moments.rs
+++ b/crates/router/tests/effect_moments.rs
@@ -25,7 +25,7 @@
     Served::start(&known, discovery.addr, 256, settings)
 }
 
-/// A host that welcomes all, answers probes, and reads so many bytes of a statement (all of it at `None`) before it
+/// A host that welcomes all, answers probes, and reads so many bytes of a statement, or all of it, before it
 /// closes. It keeps the statements that have come whole.
 fn cuts(after: Option<usize>) -> (SocketAddr, Arc<Watched<Vec<String>>>) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
