Only connections idle since before a host's start are closed when the list tells of it

Among the changes since, one acts where lists come late: idle connections to a host that has restarted were all closed as the list told of its start, seconds after it, those among them that had been opened to the new process. Their age is looked at now: what has been used since the start is kept.

Tests: routing (the moment goes with the address), pool (older ones alone go).

--- a/crates/router/src/routing/members.rs
+++ b/crates/router/src/routing/members.rs
@@ -39,12 +39,12 @@
     }
 
     /// Takes a list in, in the decisions' terms. What it says may count as told since `told`. Addresses at
-    /// which a process has ended that was listening there are added to `ended`.
+    /// which a process has ended that was listening there are added to `ended`, and when at the latest.
     pub fn take(
         &mut self,
         told: Time,
         list: HostList,
-        ended: &mut Vec<SocketAddr>,
+        ended: &mut Vec<(SocketAddr, Time)>,
     ) -> (ListForm, Vec<Entry>) {
         let (version, full) = (list.version, list.full);
         let mut entries = Vec::with_capacity(list.servers.len());
@@ -84,7 +84,10 @@
             }
             let addr = host.addr.parse().ok();
             let before = self.addrs[member.0 as usize];
-            ended.extend(before.filter(|b| restarted || addr.is_some_and(|a| a != *b)));
+            // A list may come long after a start: what has been used since then is sound.
+            let moved = addr.is_some_and(|a| before != Some(a));
+            let at = if moved { Time(u64::MAX) } else { Time(host.started_ms.saturating_mul(1_000_000)) };
+            ended.extend(before.filter(|_| moved || restarted).map(|b| (b, at)));
             match (addr, host.state) {
                 (Some(addr), _) => self.addrs[member.0 as usize] = Some(addr),
                 (None, HostState::Left) => {}
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -157,6 +157,8 @@
     Answer(ClientId, Answer),
     /// Close the idle connections to an address.
     CloseIdle(SocketAddr),
+    /// Close those to an address that have been idle since before a time: their process has ended by then.
+    CloseOlder(SocketAddr, Time),
     /// Ask discovery for the whole list.
     Fetch,
 }
@@ -253,8 +255,7 @@
             Input::List(list, told) => {
                 let mut ended = Vec::new();
                 let (form, entries) = self.members.take(told.min(now), list, &mut ended);
-                // What idles there is a connection to a process that is no more.
-                out.extend(ended.into_iter().map(Effect::CloseIdle));
+                out.extend(ended.into_iter().map(|(addr, at)| Effect::CloseOlder(addr, at)));
                 self.events.push_back(Event::List(form, entries));
                 self.list_limits(now);
             }
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -161,6 +161,7 @@
                     }
                 }
                 Effect::CloseIdle(addr) => self.pool.close(addr),
+                Effect::CloseOlder(addr, at) => self.pool.close_older(addr, self.clock.instant(at)),
                 Effect::Fetch => self.following.fetch.notify(),
             }
         }
--- a/crates/router/src/transport/pool.rs
+++ b/crates/router/src/transport/pool.rs
@@ -75,6 +75,13 @@
         self.idle.borrow_mut().remove(&addr);
     }
 
+    /// Closes the connections to an address that have been idle since before a moment.
+    pub fn close_older(&self, addr: SocketAddr, at: Instant) {
+        if let Some(list) = self.idle.borrow_mut().get_mut(&addr) {
+            list.retain(|idle| idle.since >= at);
+        }
+    }
+
     /// Closes the connection that has been idle for longest.
     pub fn close_oldest(&self) {
         let mut idle = self.idle.borrow_mut();
--- a/crates/router/src/transport/pool/tests.rs
+++ b/crates/router/src/transport/pool/tests.rs
@@ -30,3 +30,24 @@
     assert_eq!(budget.left(), 8);
     Ok(())
 }
+
+#[test]
+fn connections_that_have_idled_since_before_a_moment_are_closed() -> std::io::Result<()> {
+    let host = TcpListener::bind(("127.0.0.1", 0))?;
+    let (addr, budget) = (host.local_addr()?, Budget::new(9));
+    let pool = Pool::new(Duration::ZERO, Duration::from_secs(86_400));
+    let mut far = Vec::new();
+    let mut idles = || -> std::io::Result<()> {
+        let near = TcpStream::connect(addr)?;
+        far.push(host.accept()?.0);
+        let _permit = budget.take().expect("a descriptor");
+        pool.put(addr, HostConnection { stream: Async::new(near)?, side: HostSide::default(), _permit });
+        Ok(())
+    };
+    idles()?;
+    let restarted = Instant::now();
+    idles()?;
+    pool.close_older(addr, restarted);
+    assert_eq!((pool.len(), budget.left()), (1, 8));
+    Ok(())
+}
