Lists asked for: one watch is all that a router asks, and the turned away come again later

Ruled out: an outage that lasts (calls are answered 43 ms apart at 10.2 s in a larger fleet), the silence limit (no head comes). At fault: transport/watch.rs. A 503 was an answer that can't be read: the version was dropped and the whole list asked for. Calls were given up after 1.2 s, repeated every 0.5 s, and each router fetched the whole list every half of askEvery beside its open watch. Calls that have waited too long cost discovery their work all the same: with 8 to 14 calls a second at 20 routers nobody was in time.

Change: transport/backoff.rs; where calls wait in turn, rests double to 8 s and are drawn about that; a call keeps its turn for 2.25 s; 429 and 5xx keep the version; nothing is fetched beside the watch, which is always kept. With that, fetching is gone.

--- a/crates/router/src/protocol/discovery.rs
+++ b/crates/router/src/protocol/discovery.rs
@@ -102,6 +102,7 @@
     line: Vec<u8>,
     /// So much of it, in whole lines, is part of a list that goes on.
     seen: usize,
+    turned_away: bool,
 }
 
 impl WatchSide {
@@ -133,6 +134,11 @@
         }
     }
 
+    /// Whether the call was turned away, for want of capacity above all: what is known stays good.
+    pub fn turned_away(&self) -> bool {
+        self.turned_away
+    }
+
     /// Whether the answer's head has come.
     pub fn has_head(&self) -> bool {
         self.stage != Stage::Head
@@ -187,6 +193,7 @@
                     return Ok(false);
                 };
                 if response.code != Some(200) {
+                    self.turned_away = matches!(response.code, Some(429 | 500..));
                     return Err(ProtocolError(format!("HTTP: status {}", response.code.unwrap_or(0))));
                 }
                 let mut next = Stage::Plain(None);
@@ -253,8 +260,3 @@
     let line = format!("GET /discovery/hosts?watch=1{from} HTTP/1.1\r\nHost: {host}\r\nAccept: */*\r\n\r\n");
     line.into_bytes()
 }
-
-/// The request for the whole list.
-pub fn list_request(host: &str) -> Vec<u8> {
-    format!("GET /discovery/hosts HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n\r\n").into_bytes()
-}
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -176,8 +176,6 @@
     CloseIdle(SocketAddr),
     /// Close those to an address that have been idle since before a time: their process has ended by then.
     CloseOlder(SocketAddr, Time),
-    /// Ask discovery for the whole list.
-    Fetch,
 }
 
 /// A router without its sockets.
@@ -403,8 +401,9 @@
                 out.push(Effect::Begin(Order { id, member, client: None, addr, query }));
             }
             Action::CloseIdle(member) => out.extend(self.members.addr(member).map(Effect::CloseIdle)),
-            Action::Watch => {} // a watch is always kept
-            Action::Fetch => out.push(Effect::Fetch),
+            // A watch is always kept, and tells each change by itself: the whole list costs a discovery that all
+            // routers share what others wait for.
+            Action::Watch | Action::Fetch => {}
             Action::Log(line) => log::info!("{line}"),
         }
     }
--- /dev/null
+++ b/crates/router/src/transport/backoff/tests.rs
@@ -0,0 +1,56 @@
+use super::*;
+use std::collections::VecDeque;
+
+fn rests(mut backoff: Backoff, count: usize) -> Vec<u64> {
+    (0..count).map(|_| backoff.next().as_millis() as u64).collect()
+}
+
+#[test]
+fn rests_double_up_to_their_limit_and_begin_anew_after_success() {
+    assert_eq!(rests(Backoff::steady(), 5), [100, 200, 400, 500, 500]);
+    let mut backoff = Backoff::steady();
+    backoff.next();
+    backoff.reset();
+    assert_eq!(rests(backoff, 3), [50, 100, 200]);
+}
+
+/// Discovery takes calls in turn, so long for each, and lets one wait for two seconds; a call whose turn comes
+/// later has cost its time for nothing, and one that would wait longer is turned away at once.
+fn served(routers: u64, each_ms: u64, until_ms: u64) -> usize {
+    let mut backoffs: Vec<Backoff> = (0..routers).map(|n| Backoff::drawn(n, 0)).collect();
+    let mut calls: Vec<Option<u64>> = vec![Some(0); routers as usize];
+    let mut queue: VecDeque<(usize, u64)> = VecDeque::new();
+    let (mut busy_until, mut done) = (0, 0);
+    for now in 0..until_ms {
+        if now >= busy_until {
+            if let Some((n, asked)) = queue.pop_front() {
+                busy_until = now + each_ms;
+                if busy_until <= asked + 2000 {
+                    done += 1;
+                } else {
+                    calls[n] = Some(asked + 2000 + backoffs[n].next().as_millis() as u64);
+                }
+            }
+        }
+        for n in 0..calls.len() {
+            if calls[n].is_some_and(|at| at <= now) {
+                let ahead = queue.len() as u64 * each_ms + busy_until.saturating_sub(now);
+                if ahead >= 2000 {
+                    calls[n] = Some(now + backoffs[n].next().as_millis() as u64);
+                } else {
+                    calls[n] = None;
+                    queue.push_back((n, now));
+                }
+            }
+        }
+    }
+    done
+}
+
+#[test]
+fn routers_that_a_shared_discovery_turns_away_together_all_get_through() {
+    for routers in [20, 100, 300] {
+        let each = 8000 / routers;
+        assert_eq!(served(routers, each, 30_000), routers as usize, "{routers} routers");
+    }
+}
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -1,6 +1,7 @@
 //! Sockets: listener, clients, connections to hosts, discovery's watch and timers, all on one thread. It
 //! carries out what routing says and tells it what happened.
 
+mod backoff;
 mod budget;
 mod client;
 mod conversation;
@@ -100,6 +101,10 @@
     last_call: Signal,
     closing: Cell<bool>,
     connect_timeout: Duration,
+    /// Discovery takes calls of all routers in turn.
+    turns: bool,
+    /// For random numbers.
+    seed: u64,
 }
 
 impl Hub {
@@ -128,6 +133,8 @@
             last_call: Signal::default(),
             closing: Cell::new(false),
             connect_timeout,
+            turns: config.site.settings.list_on_request,
+            seed: config.seed,
         });
         hub.carry_out(effects);
         hub
@@ -163,7 +170,6 @@
                 }
                 Effect::CloseIdle(addr) => self.pool.close(addr),
                 Effect::CloseOlder(addr, at) => self.pool.close_older(addr, self.clock.instant(at)),
-                Effect::Fetch => self.following.fetch.notify(),
             }
         }
         let router = self.router.borrow();
@@ -226,7 +232,6 @@
     let listening = hub.spawn(accept(Rc::clone(&hub), listener));
     let always = [
         hub.spawn(ready(Rc::clone(&hub), named)),
-        hub.spawn(watch::fetches(Rc::clone(&hub))),
         hub.spawn(timers(Rc::clone(&hub))),
         hub.spawn(tidy(Rc::clone(&hub))),
     ];
--- a/crates/router/src/transport/watch.rs
+++ b/crates/router/src/transport/watch.rs
@@ -1,9 +1,10 @@
 //! Discovery's watch: kept open, and opened again when it ends or falls silent. Each address has a watch of
 //! its own, with its versions: those of another discovery may not compare.
 
+use super::backoff::Backoff;
 use super::signal::Signal;
 use super::{io, Hub};
-use crate::protocol::discovery::{list_request, watch_request, WatchMessage, WatchSide};
+use crate::protocol::discovery::{watch_request, WatchMessage, WatchSide};
 use crate::routing::Input;
 use async_executor::Task;
 use async_io::{Async, Timer};
@@ -22,12 +23,10 @@
 /// Discovery's agent is near, and answers at once: so long for a connection and the answer's head. A packet
 /// that is lost on the way is sent again within it.
 const HEAD_WITHIN: Duration = Duration::from_millis(1200);
-const REST_FIRST: Duration = Duration::from_millis(50);
-/// What discovery has counts as told 6 s after it can be reached, whatever became of calls before. The
-/// longest way to it: a silent watch (2.25 s), a rest, a call that is given up (1.2 s before its head, 2.25 s
-/// after it), a rest, one that is refused, a rest, and the call that tells: 5.1 s.
-const REST_MOST: Duration = Duration::from_millis(500);
-
+/// Where lists are asked for, calls of all routers wait in turn, and discovery itself ends one that has waited
+/// for two seconds. One given up before that has cost its work for nothing, and is asked again: routers that
+/// did so by hundreds would never get a list.
+const TURN_WITHIN: Duration = Duration::from_millis(2250);
 /// Where discovery is followed.
 pub struct Following {
     addr: Cell<SocketAddr>,
@@ -35,14 +34,9 @@
     watches: RefCell<BTreeMap<u64, Task<()>>>,
     /// A call has been made.
     called: Cell<bool>,
-    /// The newest version that a watch has told, and where.
-    version: Cell<Option<(SocketAddr, u64)>>,
-    /// The whole list is asked for.
-    pub fetch: Signal,
+
     /// A list has been told.
     pub listed: Signal,
-    /// Discovery has moved: a call to where it was is not waited for.
-    moved: Signal,
 }
 
 impl Following {
@@ -51,11 +45,8 @@
         Following {
             addr: Cell::new(addr),
             called: Cell::new(false),
-            version: Cell::new(None),
             watches: RefCell::default(),
-            fetch: Signal::default(),
             listed: Signal::default(),
-            moved: Signal::default(),
         }
     }
 
@@ -69,7 +60,6 @@
     pub fn at(hub: &Rc<Hub>, addr: SocketAddr, from: Option<u64>) {
         let following = &hub.following;
         following.addr.set(addr);
-        following.moved.notify();
         let number = following.watches.borrow().last_key_value().map_or(0, |(n, _)| n + 1);
         let task = hub.spawn(run(Rc::clone(hub), number, addr, from));
         let mut watches = following.watches.borrow_mut();
@@ -80,19 +70,13 @@
         watches.extend(task.map(|t| (number, t)));
     }
 
-    /// Whether a watch has told more than a list of this version, at the same address.
-    fn outdated(&self, addr: SocketAddr, version: u64) -> bool {
-        self.version.get().is_some_and(|(at, newest)| at == addr && version < newest)
-    }
-
     /// Ends all watches.
     pub fn end(&self) {
         self.watches.borrow_mut().clear();
     }
 
     /// A watch has told a list; called from within it.
-    fn told(&self, number: u64, addr: SocketAddr, version: u64) {
-        self.version.set(Some((addr, version)));
+    fn told(&self, number: u64) {
         self.watches.borrow_mut().retain(|n, _| *n >= number);
         self.listed.notify();
     }
@@ -118,7 +102,7 @@
 /// Follows the list for ever, from the version known at first.
 async fn run(hub: Rc<Hub>, number: u64, addr: SocketAddr, from: Option<u64>) {
     let mut version = from;
-    let mut rest = REST_FIRST;
+    let mut backoff = if hub.turns { Backoff::drawn(hub.seed, number) } else { Backoff::steady() };
     // Discovery may have had, and so told, what a watch brings first since the one before last said anything.
     let mut heard = hub.clock.now();
     loop {
@@ -130,8 +114,10 @@
                 version = None;
             }
         }
-        rest = if told { REST_FIRST } else { (rest * 2).min(REST_MOST) };
-        Timer::after(rest).await;
+        if told {
+            backoff.reset();
+        }
+        Timer::after(backoff.next()).await;
     }
 }
 
@@ -162,9 +148,8 @@
                 let now = hub.clock.now();
                 let since = if first { *heard } else { now };
                 (*version, *told, *heard, first) = (Some(list.version), true, now, false);
-                let number_of_list = list.version;
                 hub.input(Input::List(list, since));
-                hub.following.told(number, addr, number_of_list);
+                hub.following.told(number);
                 continue;
             }
             Ok(Some(WatchMessage::Nothing)) => {
@@ -177,6 +162,8 @@
                 return over.unwrap_or_else(|| End::Failed("the watch has ended".into()))
             }
             Ok(None) => {}
+            // What is known stays known: asked for anew, the whole list would cost discovery the more.
+            Err(e) if side.turned_away() => return End::Failed(format!("the call is turned away ({e})")),
             Err(e) => return End::Unreadable(e.to_string()),
         }
         if let Some(end) = over {
@@ -196,52 +183,6 @@
     }
 }
 
-/// Fetches the whole list, beside the watch, whenever it is asked for.
-pub async fn fetches(hub: Rc<Hub>) {
-    loop {
-        hub.following.fetch.wait().await;
-        hub.following.moved.take();
-        let addr = hub.following.addr();
-        let moved = async {
-            hub.following.moved.wait().await;
-            hub.following.fetch.notify();
-            Err(End::Failed("discovery has moved meanwhile".into()))
-        };
-        if let Err(End::Failed(e) | End::Unreadable(e)) = future::or(fetch(&hub, addr), moved).await {
-            log::warn!("discovery: fetching the list: {e}");
-        }
-    }
-}
-
-async fn fetch(hub: &Rc<Hub>, addr: SocketAddr) -> Result<(), End> {
-    let asked = hub.clock.now();
-    let (stream, mut until) = ask(hub, addr, &list_request(&addr.to_string())).await?;
-    let mut side = WatchSide::default();
-    let mut head = false;
-    loop {
-        let message = side.take().map_err(|e| End::Unreadable(e.to_string()))?;
-        if !head && side.has_head() {
-            (head, until) = (true, Instant::now() + SILENCE);
-        }
-        match message {
-            // A watch has told a newer one meanwhile: a drain in it would be forgotten.
-            Some(WatchMessage::List(list)) if hub.following.outdated(addr, list.version) => {}
-            Some(WatchMessage::List(list)) => {
-                hub.input(Input::List(list, asked));
-                hub.following.listed.notify();
-            }
-            Some(WatchMessage::Nothing) => {}
-            Some(WatchMessage::End) => return Ok(()),
-            None => {
-                let read = async { Ok(io::read(hub, &stream, |bytes| side.feed(bytes)).await?) };
-                if future::or(read, silent(until)).await? == 0 {
-                    side.closed();
-                }
-            }
-        }
-    }
-}
-
 /// Connects and writes a request, once all routers' budget for such calls has one for it; with the time by
 /// which the answer's head is due.
 async fn ask(hub: &Hub, addr: SocketAddr, request: &[u8]) -> Result<(Async<TcpStream>, Instant), End> {
@@ -251,7 +192,7 @@
     {
         Timer::after(LOOK_AGAIN).await;
     }
-    let until = Instant::now() + HEAD_WITHIN;
+    let until = Instant::now() + if hub.turns { TURN_WITHIN } else { HEAD_WITHIN };
     let asked = async {
         let stream = Async::<TcpStream>::connect(addr).await?;
         io::write(&stream, &[request]).await?;
--- a/crates/standin/src/discovery.rs
+++ b/crates/standin/src/discovery.rs
@@ -14,6 +14,8 @@
     Closed,
     /// It is never answered.
     Silent,
+    /// It is turned away, for want of capacity.
+    TurnedAway,
     /// Its answer ends with the head, and the connection stays.
     Head,
     /// A watch tells its first line; then half a line drips in, byte by byte, and never ends.
@@ -99,6 +101,7 @@
     match manner {
         Some(Manner::Closed) => return Ok(()),
         Some(Manner::Silent) => return stays(stream),
+        Some(Manner::TurnedAway) => return write!(stream, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"),
         Some(Manner::Head) => {
             write!(stream, "{head}Transfer-Encoding: chunked\r\n\r\n")?;
             return stays(stream);
