--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -401,8 +401,8 @@
                 out.push(Effect::Begin(Order { id, member, client: None, addr, query }));
             }
             Action::CloseIdle(member) => out.extend(self.members.addr(member).map(Effect::CloseIdle)),
-            // A watch is always kept, and tells each change by itself: the whole list costs a discovery that all
-            // routers share what others wait for.
+            // A watch is always kept, and tells each change by itself: the whole list costs a discovery that
+            // all routers share what others wait for.
             Action::Watch | Action::Fetch => {}
             Action::Log(line) => log::info!("{line}"),
         }
--- a/crates/router/src/transport/backoff.rs
+++ b/crates/router/src/transport/backoff.rs
@@ -27,8 +27,8 @@
         Backoff { rest: FIRST, most: MOST, random: None }
     }
 
-    /// For one that all routers share. Those that it turns away together come again at moments of their own: the
-    /// rests are drawn, from half to one and a half times their length.
+    /// For one that all routers share. Those that it turns away together come again at moments of their own:
+    /// the rests are drawn, from half to one and a half times their length.
     pub fn drawn(seed: u64, watch: u64) -> Backoff {
         let random = Rng::with_seed(seed ^ watch.wrapping_mul(0x9e37_79b9_7f4a_7c15));
         Backoff { rest: FIRST, most: MOST_IN_TURN, random: Some(random) }
--- a/crates/router/src/transport/backoff/tests.rs
+++ b/crates/router/src/transport/backoff/tests.rs
@@ -14,8 +14,8 @@
     assert_eq!(rests(backoff, 3), [50, 100, 200]);
 }
 
-/// Discovery takes calls in turn, so long for each, and lets one wait for two seconds; a call whose turn comes
-/// later has cost its time for nothing, and one that would wait longer is turned away at once.
+/// Discovery takes calls in turn, so long for each, and lets one wait for two seconds; a call whose turn
+/// comes later has cost its time for nothing, and one that would wait longer is turned away at once.
 fn served(routers: u64, each_ms: u64, until_ms: u64) -> usize {
     let mut backoffs: Vec<Backoff> = (0..routers).map(|n| Backoff::drawn(n, 0)).collect();
     let mut calls: Vec<Option<u64>> = vec![Some(0); routers as usize];
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -542,8 +542,8 @@
         }
     }
 
-    /// Closes between two requests. No whole request has been read that is not answered, and none will be: for
-    /// a client that asks meanwhile, that is a proof.
+    /// Closes between two requests. No whole request has been read that is not answered, and none will be:
+    /// for a client that asks meanwhile, that is a proof.
     fn part(&self, talk: &mut Conversation) {
         match self.hub.clients.farewell.get() {
             true => talk.farewell(),
--- a/crates/router/src/transport/conversation.rs
+++ b/crates/router/src/transport/conversation.rs
@@ -1,9 +1,9 @@
-//! One client's side of a connection, without I/O: bytes and answers go in; requests to be asked, and bytes to
-//! be written, come out. Reading, asking and writing don't wait for each other, but within bounds.
+//! One client's side of a connection, without I/O: bytes and answers go in; requests to be asked, and bytes
+//! to be written, come out. Reading, asking and writing don't wait for each other, but within bounds.
 //!
-//! Each whole command gets exactly one answer, in the order of the commands. Reads behind reads are asked side
-//! by side, a few at a time. A write waits until all before it is answered, and what stands behind it waits for
-//! its answer: a session's commands take effect in their order.
+//! Each whole command gets exactly one answer, in the order of the commands. Reads behind reads are asked
+//! side by side, a few at a time. A write waits until all before it is answered, and what stands behind it
+//! waits for its answer: a session's commands take effect in their order.
 
 use crate::protocol::client::{self, CancelKey, ClientMessage, ClientSide};
 use crate::protocol::statement::{Statement, Verb};
--- a/crates/router/src/transport/conversation/tests.rs
+++ b/crates/router/src/transport/conversation/tests.rs
@@ -290,11 +290,15 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 2000, rng_seed: RngSeed::Fixed(37), ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig {
+        cases: 2000,
+        rng_seed: RngSeed::Fixed(37),
+        ..ProptestConfig::default()
+    })]
 
-    /// Whatever a client writes, in whatever pieces, crossed by answers, tokens, a slow reader, a stop and its
-    /// own lateness: each whole command that is taken gets exactly one answer, in order; a connection ends only
-    /// behind all of them; no read passes a write; and nothing is taken behind its end.
+    /// Whatever a client writes, in whatever pieces, crossed by answers, tokens, a slow reader, a stop and
+    /// its own lateness: each whole command that is taken gets exactly one answer, in order; a connection
+    /// ends only behind all of them; no read passes a write; and nothing is taken behind its end.
     #[test]
     fn each_whole_command_has_one_answer_in_order(
         commands in commands(),
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -402,8 +402,8 @@
     }
 }
 
-/// Gives a connection its task. Room that is not there at once is looked for so often, for a few at a time beside
-/// accepting: those behind them don't wait unread.
+/// Gives a connection its task. Room that is not there at once is looked for so often, for a few at a time
+/// beside accepting: those behind them don't wait unread.
 async fn admit(hub: &Rc<Hub>, id: ClientId, stream: Async<TcpStream>, tries: u32) {
     let came = Instant::now();
     let mut permits = hub.clients.seat(hub, 1).await;
--- a/crates/router/src/transport/watch.rs
+++ b/crates/router/src/transport/watch.rs
@@ -23,9 +23,9 @@
 /// Discovery's agent is near, and answers at once: so long for a connection and the answer's head. A packet
 /// that is lost on the way is sent again within it.
 const HEAD_WITHIN: Duration = Duration::from_millis(1200);
-/// Where lists are asked for, calls of all routers wait in turn, and discovery itself ends one that has waited
-/// for two seconds. One given up before that has cost its work for nothing, and is asked again: routers that
-/// did so by hundreds would never get a list.
+/// Where lists are asked for, calls of all routers wait in turn, and discovery itself ends one that has
+/// waited for two seconds. One given up before that has cost its work for nothing, and is asked again:
+/// routers that did so by hundreds would never get a list.
 const TURN_WITHIN: Duration = Duration::from_millis(2250);
 /// Where discovery is followed.
 pub struct Following {
--- a/crates/router/tests/list_moments.rs
+++ b/crates/router/tests/list_moments.rs
@@ -155,8 +155,8 @@
     assert!(last < told + GRACE / 2, "{:?} after it was told", last - told);
 }
 
-/// Where all routers ask one discovery in turn, a whole list for each that is turned away would be more than it can
-/// give: what is known stays known, and the next call asks for what has changed.
+/// Where all routers ask one discovery in turn, a whole list for each that is turned away would be more than
+/// it can give: what is known stays known, and the next call asks for what has changed.
 #[test]
 fn a_router_that_is_turned_away_asks_again_for_what_has_changed_alone() {
     let (one, two) = pair();
--- a/crates/router/tests/pipelines.rs
+++ b/crates/router/tests/pipelines.rs
@@ -1,5 +1,5 @@
-//! Clients that write many commands before they read an answer, through the real program: each command has its
-//! answer, whole and in order, whatever happens to the router meanwhile.
+//! Clients that write many commands before they read an answer, through the real program: each command has
+//! its answer, whole and in order, whatever happens to the router meanwhile.
 
 mod common;
 
--- a/crates/router/tests/sessions.rs
+++ b/crates/router/tests/sessions.rs
@@ -37,8 +37,9 @@
     format!("tokens with={with:?} early=#true {{\n {KEYS} signs=#true\n }}")
 }
 
-/// Floors leave reads to replicas: judged by the reads that were sent while the machine kept pace, by far the most
-/// where it is not overloaded. A member that says nothing for 250 ms is out of service for a second, whatever floors say.
+/// Floors leave reads to replicas: judged by the reads that were sent while the machine kept pace, by far the
+/// most where it is not overloaded. A member that says nothing for 250 ms is out of service for a second,
+/// whatever floors say.
 fn judge_share(tally: &Tally, case: &str) {
     let (reads, share) = tally.replica_share_at_pace();
     let all = tally.replica_share();
--- a/crates/router/tests/transport.rs
+++ b/crates/router/tests/transport.rs
@@ -396,8 +396,8 @@
     assert_eq!(client.ask(&text("write", "")).unwrap(), row(b"x"));
 }
 
-/// An open watch tells each change: whole lists beside it would take from a discovery that all routers share what
-/// others wait for.
+/// An open watch tells each change: whole lists beside it would take from a discovery that all routers share
+/// what others wait for.
 #[test]
 fn where_lists_are_asked_for_the_watch_is_the_one_call() {
     let host = host(|_| Reply::Row(b"x".to_vec()));
@@ -406,8 +406,8 @@
     let settings = SETTINGS.replace("\"automatic\"", "\"subscribe\"");
     let settings = settings.replace("\"rules\": {", "\"rules\": {\"askEvery\": 20000000, ");
     let served = Served::start(&known, discovery.addr, 256, &settings);
-    // The stand-in says nothing for longer than a watch may be silent: by its end a router that asked each 10 ms
-    // would have done so two hundred times.
+    // The stand-in says nothing for longer than a watch may be silent: by its end a router that asked each 10
+    // ms would have done so two hundred times.
     let again = discovery.told.wait(|t| t.requests.get(1).cloned()).unwrap();
     assert!(again.contains("watch=1") && again.contains("from=1"), "{again}");
     assert_eq!(served.client().ask(&text("write", "")).unwrap(), row(b"x"));
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -307,8 +307,8 @@
     stalls: Vec<(Instant, Instant)>,
 }
 
-/// Members out of which nothing comes for 250 ms are out of service for a second: so long after a stall of the
-/// machine the primary may serve what replicas could have.
+/// Members out of which nothing comes for 250 ms are out of service for a second: so long after a stall of
+/// the machine the primary may serve what replicas could have.
 const STALL: Duration = Duration::from_millis(200);
 const STALLED_FOR: Duration = Duration::from_millis(1500);
 
@@ -339,7 +339,8 @@
     }
 
     /// Of the session reads that were sent while the machine kept pace, how many, and the share that replicas
-    /// served. On a machine that stalls, members answer too late and are out of service for a while, as they should.
+    /// served. On a machine that stalls, members answer too late and are out of service for a while, as they
+    /// should.
     pub fn replica_share_at_pace(&self) -> (usize, f64) {
         let near = |at: Instant| self.stalls.iter().any(|(from, to)| *from <= at && at <= *to + STALLED_FOR);
         let kept: Vec<bool> = self.sent.iter().filter(|(at, _)| !near(*at)).map(|s| s.1).collect();
