A stop takes all that the socket holds at that moment, not one read of it

Found by reading: at the last call a connection was read once more, 16 KiB at most, and what a longer pipeline had behind that was closed upon unread, though it had come before the stop. At fault: client.rs, one look, then last_call. Ruled out as harmless: the text before read on between commands. Change: the last call names the bytes that the socket holds (FIONREAD); they are read as room comes, then the rest of the message that has begun. Bytes to be written are counted as they come and go, not added up at each step.

--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -381,13 +381,13 @@
             match grace {
                 Some(grace) => wait_until(grace),
                 None if !talk.borrow().called() => {
-                    match seat.look(stream, talk) {
-                        Err(over) => return over,
-                        Ok(_) => talk.borrow_mut().last_call(),
+                    talk.borrow_mut().last_call(io::unread(stream));
+                    if let Err(over) = seat.look(stream, talk) {
+                        return over;
                     }
                     continue;
                 }
-                None if resting && begun.is_none() && !talk.borrow().ending() => {
+                None if resting && !talk.borrow().takes() && !talk.borrow().ending() => {
                     seat.part(&mut talk.borrow_mut());
                     continue;
                 }
--- a/crates/router/src/transport/conversation.rs
+++ b/crates/router/src/transport/conversation.rs
@@ -56,6 +56,7 @@
     ahead: usize,
     /// What is to be written, and how much of its first part has been.
     out: VecDeque<Vec<u8>>,
+    unwritten: usize,
     written: usize,
     /// Commands that are asked: how many, and whether that is a write.
     asked: usize,
@@ -70,8 +71,8 @@
     /// When the first byte came of the message that is not whole.
     begun: Option<Time>,
     paused: bool,
-    /// What has come is served, and the message that has begun may come whole; nothing behind it is taken.
-    last_call: bool,
+    /// So many bytes more are taken, and the rest of the message that has begun by then; nothing behind it.
+    last_call: Option<usize>,
     /// Nothing behind what has come whole is taken: its client is told so in that place.
     cut: Option<(&'static str, &'static str)>,
     /// Nothing more is taken; it ends once all answers are written.
@@ -90,6 +91,7 @@
             replies: VecDeque::new(),
             ahead: 0,
             out: VecDeque::new(),
+            unwritten: 0,
             written: 0,
             asked: 0,
             writing: false,
@@ -99,7 +101,7 @@
             unread_since: Some(since),
             begun: None,
             paused: false,
-            last_call: false,
+            last_call: None,
             cut: None,
             ending: false,
             dismissed: None,
@@ -119,11 +121,16 @@
         }
         let before = self.side.partial();
         let fed = match self.last_call {
-            true => self.side.finish(bytes, came),
-            false => {
+            None => {
                 self.side.feed(bytes, came);
                 bytes.len()
             }
+            Some(left) => {
+                let (now, later) = bytes.split_at(left.min(bytes.len()));
+                self.side.feed(now, came);
+                self.last_call = Some(if drained { 0 } else { left - now.len() });
+                now.len() + self.side.finish(later, came)
+            }
         };
         let partial = self.side.partial();
         self.begun = match (partial, self.begun) {
@@ -137,6 +144,7 @@
     /// The socket was found empty.
     pub fn drained(&mut self) {
         self.unread_since = None;
+        self.last_call = self.last_call.map(|_| 0);
     }
 
     /// Nothing is read from now on, up to [`Conversation::resume`]: what comes may wait unread.
@@ -154,18 +162,21 @@
 
     /// Whether more may be read: so much may wait here for its turn, and no more.
     pub fn takes(&self) -> bool {
-        let open = !self.ending && self.cut.is_none() && (!self.last_call || self.side.partial() > 0);
+        let open = !self.ending
+            && self.cut.is_none()
+            && self.last_call.is_none_or(|left| left > 0 || self.side.partial() > 0);
         open && self.side.whole() + self.next.as_ref().map_or(0, |n| n.bytes) <= LARGE
     }
 
-    /// What comes from now on is not taken, but for the rest of a message that has begun.
-    pub fn last_call(&mut self) {
-        self.last_call = true;
+    /// What comes from now on is not taken, but for what the socket holds, so many bytes, and the rest of a
+    /// message that has begun.
+    pub fn last_call(&mut self, unread: usize) {
+        self.last_call = Some(unread);
     }
 
     /// Whether [`Conversation::last_call`] has been said.
     pub fn called(&self) -> bool {
-        self.last_call
+        self.last_call.is_some()
     }
 
     /// Its client has had its time for a message; it is told behind the answers of all that came whole.
@@ -296,7 +307,7 @@
         while let Some(Reply::Ready(_)) = self.replies.front() {
             if let Some(Reply::Ready(bytes)) = self.replies.pop_front() {
                 self.ahead = self.ahead.saturating_sub(bytes.len());
-                self.out.push_back(bytes);
+                self.write(bytes);
             }
         }
     }
@@ -335,7 +346,12 @@
 
     /// Its session's token, which goes out between two messages.
     pub fn token(&mut self, token: &str) {
-        self.out.push_back(client::session_token(token));
+        self.write(client::session_token(token));
+    }
+
+    fn write(&mut self, bytes: Vec<u8>) {
+        self.unwritten += bytes.len();
+        self.out.push_back(bytes);
     }
 
     // ---- Writing ----
@@ -355,6 +371,7 @@
     pub fn wrote(&mut self, n: usize) -> bool {
         let before = self.out.len();
         self.written += n;
+        self.unwritten -= n;
         while let Some(len) = self.out.front().map(Vec::len).filter(|len| *len <= self.written) {
             self.written -= len;
             self.out.pop_front();
@@ -364,7 +381,7 @@
 
     /// Bytes that are to be written.
     pub fn unwritten(&self) -> usize {
-        self.out.iter().map(Vec::len).sum::<usize>() - self.written
+        self.unwritten
     }
 
     // ---- Its end ----
--- a/crates/router/src/transport/conversation/tests.rs
+++ b/crates/router/src/transport/conversation/tests.rs
@@ -211,7 +211,7 @@
     let mut talk = talk();
     let (one, two) = (query(&text(0, false)), query(&text(1, false)));
     talk.read(&[startup(), one[..7].to_vec()].concat(), true, Time(0));
-    talk.last_call();
+    talk.last_call(0);
     assert!(talk.takes());
     talk.read(&one[7..20], true, Time(0));
     talk.read(&[one[20..].to_vec(), two.clone()].concat(), true, Time(0));
@@ -221,6 +221,24 @@
     assert!(asks(&mut talk).is_empty());
 }
 
+#[test]
+fn what_the_socket_holds_at_the_last_call_is_taken_and_nothing_behind_it() {
+    let mut talk = talk();
+    talk.read(&startup(), true, Time(0));
+    let (one, two, three) = (query(&text(0, false)), query(&text(1, false)), query(&text(2, false)));
+    talk.last_call(one.len() + two.len() - 5);
+    talk.read(&one, false, Time(0));
+    assert!(talk.takes());
+    talk.read(&[&two[..], &three].concat(), false, Time(0));
+    assert!(!talk.takes());
+    assert_eq!(asks(&mut talk).len(), 2, "the second has begun by then");
+    // A socket that is found empty holds no more.
+    let mut talk = self::talk();
+    talk.last_call(1000);
+    talk.drained();
+    assert!(!talk.takes());
+}
+
 #[test]
 fn an_empty_query_is_answered_once_the_router_is_ready_and_holds_up_nothing() {
     let mut talk = talk();
@@ -356,7 +374,7 @@
                 Some(Happens::Token) => talk.token("token"),
                 Some(Happens::Taken(most)) => out.extend(take(&mut talk, most)),
                 Some(Happens::Stops) if fed > 0 => {
-                    talk.last_call();
+                    talk.last_call(0);
                     stopped = true;
                 }
                 Some(Happens::Late) if talk.begun().is_some() => {
--- a/crates/router/src/transport/io.rs
+++ b/crates/router/src/transport/io.rs
@@ -91,6 +91,11 @@
     future::or(rest, future::or(late, enough)).await;
 }
 
+/// How many bytes have come and are not read; where the system can't tell, as much as is read at a time.
+pub fn unread(stream: &Async<TcpStream>) -> usize {
+    rustix::io::ioctl_fionread(stream.get_ref()).map_or(super::READ_AT_ONCE, |n| n as usize)
+}
+
 /// Has the connection reset as it closes: what is still to be sent would be kept for one that takes nothing.
 pub fn abort(stream: &Async<TcpStream>) {
     let _ = rustix::net::sockopt::set_socket_linger(stream.get_ref(), Some(Duration::ZERO));
--- a/crates/router/tests/pipelines.rs
+++ b/crates/router/tests/pipelines.rs
@@ -173,6 +173,27 @@
     assert!(router.exits().unwrap().success());
 }
 
+#[test]
+fn a_pipeline_longer_than_a_router_holds_is_answered_whole_over_a_stop() {
+    let host = Host::start(|text| match text {
+        "SHOW vitals" => (Reply::Row(b"x1=1".to_vec()), Vec::new()),
+        text => {
+            std::thread::sleep(Duration::from_millis(4)); // its work
+            (Reply::Row(id_of(text).as_bytes().to_vec()), vec![("rank", "source".into())])
+        }
+    })
+    .unwrap();
+    let mut router = one(&host, 256);
+    let mut client = Client::connect(router.addr).unwrap();
+    let commands: Vec<u8> = (0..400).flat_map(|n| query(&statement("write", 6, n))).collect();
+    client.stream.write_all(&commands).unwrap();
+    host.saw("INSERT").unwrap();
+    router.signal("TERM").unwrap();
+    in_order(&mut client, "write", 6, 400);
+    assert!(client.ended());
+    assert!(router.exits().unwrap().success());
+}
+
 #[test]
 fn a_pipeline_goes_on_while_others_make_room_and_the_list_moves() {
     let (one, two) = (primary(2_000), primary(2_000));
