A cold member's part of requests is one send each, and one part for all kinds

A request that was drawn for a cold member was drawn again for each further attempt. A second cause showed once that was mended: in a group without a usable primary a replica had a part of the reads and, beside it, as large a part of the writes that look for a primary.

Change: Policy::legal draws a request once for a member that it has reached; further sends go by credit alone. cold_part divides by both kinds while the group has no primary worth sending to (Policy::leader, which scout now asks, too). No constant has changed.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -165,6 +165,12 @@
     usize::from(matches!(class.consistency, Consistency::Write | Consistency::Fresh))
 }
 
+/// Whether a member may be the primary as far as is known: it is up, and stays.
+fn usable(m: &Member) -> bool {
+    let up = matches!(m.breaker, Breaker::Closed | Breaker::Open(Why::Lag, _) | Breaker::HalfOpen(Why::Lag));
+    !m.doubt && up && m.draining.is_none()
+}
+
 /// A number from 0 to 1 of the seed's sequence.
 fn dice(random: &mut u64) -> f64 {
     *random = random.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
@@ -358,6 +364,11 @@
         self.in_group(group).filter_map(claim).max().map(|(_, id)| id)
     }
 
+    /// The last known primary, if there is a point in sending to it; else one is looked for.
+    fn leader(&self, group: GroupId) -> Option<MemberId> {
+        self.primary(group).filter(|id| self.members.get(id).is_some_and(usable))
+    }
+
     /// Share of its full capacity that a member has at least, by the rules' slowest warm-up.
     fn warmth(&self, m: &Member) -> f64 {
         let Some(started) = m.started else { return 1.0 };
@@ -412,7 +423,11 @@
             }
         }
         let stale = self.set.when_behind == WhenBehind::Answers && !self.passes(job, id, m, false);
-        let drawn = || dice(&mut { job.req.id.0 }) < self.cold_part(job, id, m);
+        // A part is of requests, not of sends: one that is drawn has one there, however often it is sent.
+        let reached =
+            |t: &Try| t.member == id && !matches!(t.status, Some(Status::ConnectFailed | Status::Moot));
+        let drawn =
+            || dice(&mut { job.req.id.0 }) < self.cold_part(job, id, m) && !job.tries.iter().any(reached);
         !stale && (self.warmth(m) >= 1.0 || self.credit(m) >= 0.0 || drawn())
     }
 
@@ -431,8 +446,14 @@
         if needs == 0 && Some(id) == self.primary(m.group) {
             return 0.0;
         }
-        let there = self.wanted.get(&m.group).map_or(0.0, |a| self.faded(a[needs], ASKED_OVER_S));
-        let mean = self.faded(self.wanted_all[needs], ASKED_OVER_S) / self.groups.len().max(1) as f64;
+        // Without a primary, replicas are sent what looks for one beside their reads: one part of both.
+        let leaderless = self.leader(m.group).is_none();
+        let both = |a: &[(f64, Time); 2]| {
+            let kinds = a.iter().enumerate().filter(|(kind, _)| leaderless || *kind == needs);
+            kinds.map(|(_, asked)| self.faded(*asked, ASKED_OVER_S)).sum::<f64>()
+        };
+        let there = self.wanted.get(&m.group).map_or(0.0, both);
+        let mean = both(&self.wanted_all) / self.groups.len().max(1) as f64;
         let asked = there.max(mean) / self.over(ASKED_OVER_S);
         let part = COLD_SHARE * self.set.fall_multiple * self.warmth(m) * self.own(m) / asked.max(1e-9);
         part * (1.0 - self.few())
@@ -912,10 +933,9 @@
 
     /// With no primary known, one held write at a time tries the members in turn: a miss is proved unrun.
     fn scout(&mut self, group: GroupId, out: &mut Vec<Action>) {
-        let up = |b| matches!(b, Breaker::Closed | Breaker::Open(Why::Lag, _) | Breaker::HalfOpen(Why::Lag));
-        let usable = |p: &Member| !p.doubt && up(p.breaker) && p.draining.is_none();
-        let known = self.primary(group).and_then(|id| self.members.get(&id)).is_some_and(usable);
-        if known || self.in_group(group).any(|(_, m)| self.now.since(m.scouted) < SCOUT_EVERY) {
+        if self.leader(group).is_some()
+            || self.in_group(group).any(|(_, m)| self.now.since(m.scouted) < SCOUT_EVERY)
+        {
             return;
         }
         let span = (group, RequestId(0))..=(group, RequestId(u64::MAX));
