Tests: a system clock that is set while the router runs (known red)

Change: the test library tells another CLOCK_REALTIME, as a file says at that moment; two hosts, one 0.8 s behind with a class that allows 0.5 s, where hosts answer from what they hold.

--- a/crates/router/tests/local_calls.rs
+++ b/crates/router/tests/local_calls.rs
@@ -1,13 +1,19 @@
 //! Calls to the router's own system that fail for a moment: interrupted by signals, short of buffers or of
-//! descriptors. They are no end of a connection, no failure of a member, and no signal to stop.
+//! descriptors. They are no end of a connection, no failure of a member, and no signal to stop. And the
+//! system's clock, which may be set while the router runs.
 
 use basalthill_standin::client::{Answer, Client};
-use basalthill_standin::fleet::{file, World};
+use basalthill_standin::discovery::{list, Discovery};
+use basalthill_standin::fleet::{file, Router, Start, World};
 use basalthill_standin::group::Manner;
+use basalthill_standin::host::{Host, Reply};
+use basalthill_standin::{unix_ms, PATIENCE, SETTINGS};
 use std::net::TcpStream;
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::process::Command;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 const FOLDER: &str = env!("CARGO_TARGET_TMPDIR");
@@ -20,15 +26,20 @@
     path
 }
 
-/// The same with calls that fail: name, error, and one in how many.
-fn failing(calls: &[(&str, i32, u32)]) -> PathBuf {
+/// The library that stands before the system's.
+fn library() -> PathBuf {
     let library = file(Path::new(FOLDER), "local_calls.so", "").unwrap();
     let source = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/shim/local_calls.c");
     let mut build = Command::new("cc");
     build.args(["-shared", "-fPIC", "-O1", "-o"]).arg(&library).arg(source).arg("-ldl");
     assert!(build.status().unwrap().success(), "the library is built");
+    library
+}
+
+/// The program with calls that fail: name, error, and one in how many.
+fn failing(calls: &[(&str, i32, u32)]) -> PathBuf {
     let calls: String = calls.iter().map(|(name, error, every)| format!(" {name}={error}/{every}")).collect();
-    program(&format!("export LOCAL_CALLS='{calls}' LD_PRELOAD={}", library.display()))
+    program(&format!("export LOCAL_CALLS='{calls}' LD_PRELOAD={}", library().display()))
 }
 
 fn read(n: usize) -> String {
@@ -96,3 +107,63 @@
     let answer = asking.answer();
     assert!(matches!(answer, Ok(Answer::Row(_))), "{answer:?}");
 }
+
+/// The system's clock is wrong by so much as the router starts, and is then set right. Reads of data that may
+/// be half a second old go past a replica that is 0.8 s behind (not ejected: that takes a second), until it
+/// has caught up.
+fn reads_what_is_fresh_enough(ahead_ms: i64) {
+    let wall = file(Path::new(FOLDER), "wall-ahead", "").unwrap();
+    std::fs::write(&wall, ahead_ms.to_ne_bytes()).unwrap();
+    let lines = format!("export WALL_AHEAD={} LD_PRELOAD={}", wall.display(), library().display());
+    let lag = Arc::new(AtomicU64::new(800));
+    let host = |name: &'static str, rank: &'static str, lag: Arc<AtomicU64>| {
+        let tells = move |text: &str| {
+            let as_of = unix_ms() - lag.load(Ordering::SeqCst);
+            let vitals = format!("x0={},x1={}", as_of as f64 / 1000.0, u8::from(rank == "source"));
+            let value = if text == "SHOW vitals" { vitals } else { name.into() };
+            (Reply::Row(value.into_bytes()), vec![("rank", rank.into()), ("as_of", as_of.to_string())])
+        };
+        Host::start(tells).unwrap()
+    };
+    let (first, second) = (host("first", "source", Arc::default()), host("second", "copy", Arc::clone(&lag)));
+    let known = list(
+        1,
+        true,
+        &[("s-1", first.addr, 2, "active", "source"), ("s-2", second.addr, 2, "active", "copy")],
+    );
+    let discovery = Discovery::start(known.clone()).unwrap();
+    let settings = SETTINGS.replace("\"await\"", "\"none\"").replace("[3000000000", "[500000000");
+    let text = format!(r#"{{"seed":"1","known":{known},"settings":{settings}}}"#);
+    let start = Start {
+        program: program(&lines),
+        config: file(Path::new(FOLDER), "router.json", &text).unwrap(),
+        settings: None,
+        discovery: discovery.addr,
+    };
+    let router = Router::start("n1", start).unwrap();
+    let mut client = Client::connect(router.addr).unwrap();
+    assert!(matches!(client.ask(&read(0)), Ok(Answer::Row(_))));
+    std::fs::write(&wall, 0i64.to_ne_bytes()).unwrap();
+    for n in 1..40 {
+        assert_eq!(client.ask(&read(n)).unwrap(), Answer::Row(b"first".to_vec()), "read {n}, {ahead_ms} ms");
+    }
+    // It has caught up, and a probe finds it so.
+    lag.store(0, Ordering::SeqCst);
+    let until = Instant::now() + PATIENCE;
+    for n in 100.. {
+        match client.ask(&read(n)).unwrap() {
+            Answer::Row(value) if value == b"second" => break,
+            other => assert!(Instant::now() < until, "{other:?}"),
+        }
+    }
+}
+
+#[test]
+fn once_a_clock_that_was_behind_is_set_no_read_is_older_than_its_class_allows() {
+    reads_what_is_fresh_enough(-10_000);
+}
+
+#[test]
+fn once_a_clock_that_was_ahead_is_set_replicas_serve_again() {
+    reads_what_is_fresh_enough(10_000);
+}
--- a/crates/router/tests/shim/local_calls.c
+++ b/crates/router/tests/shim/local_calls.c
@@ -1,14 +1,20 @@
 /* Calls to the system that fail now and then. LOCAL_CALLS tells which, by name, error and how seldom:
-   "recv=4/3 send=105/7" fails each third recv with errno 4 and each seventh send with errno 105. */
+   "recv=4/3 send=105/7" fails each third recv with errno 4 and each seventh send with errno 105. And a clock
+   that is set: the file named by WALL_AHEAD holds by how many milliseconds it is ahead, eight bytes. */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
+#include <fcntl.h>
+#include <stdint.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/mman.h>
 #include <sys/socket.h>
+#include <sys/syscall.h>
 #include <sys/uio.h>
+#include <time.h>
 #include <unistd.h>
 
 struct call {
@@ -55,3 +61,21 @@
 CALL(ssize_t, send, (int fd, const void *from, size_t n, int flags), is_unix(fd), fd, from, n, flags)
 CALL(ssize_t, writev, (int fd, const struct iovec *parts, int n), 0, fd, parts, n)
 CALL(int, accept4, (int fd, struct sockaddr *from, socklen_t *n, int flags), 0, fd, from, n, flags)
+
+int clock_gettime(clockid_t clock, struct timespec *time)
+{
+    static volatile int64_t *ahead, none;
+    if (!ahead) {
+        char *path = getenv("WALL_AHEAD");
+        int fd = path ? open(path, O_RDONLY) : -1;
+        void *mapped = fd < 0 ? MAP_FAILED : mmap(NULL, sizeof *ahead, PROT_READ, MAP_SHARED, fd, 0);
+        ahead = mapped == MAP_FAILED ? &none : mapped;
+    }
+    int done = syscall(SYS_clock_gettime, clock, time);
+    if (clock == CLOCK_REALTIME) {
+        int64_t ns = time->tv_sec * 1000000000LL + time->tv_nsec + *ahead * 1000000;
+        time->tv_sec = ns / 1000000000;
+        time->tv_nsec = ns % 1000000000;
+    }
+    return done;
+}
