Unix times are read by the system's clock as it stands, also after it was set

Cause: Clock::anchored read the system's clock once; positions, starts and floors were compared with it for good. A clock that was wrong at the start, or set later, made data look fresher (rule 5), hosts warmer (rule 4) or all of it old.

Ruled out: letting the one clock step. Each deadline and timer on it would pass at once, or be late by as much.

Change: routing/wall.rs keeps how far the system's clock is ahead and brings Unix times onto the router's clock and back; both clocks are read at each input, and a reading that was held up between the two does not count. A step of 20 ms or more makes the decisions forget positions (Event::ClockSet) and counts a start by the later of the two clocks; a start that is told again is the same start. Slower corrections are followed as they come.

--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -373,6 +373,8 @@
     Timer(u64),
     /// A probe ended: member, status, how long it took, what the report says.
     Probed(MemberId, Status, Time, Standing),
+    /// The system's clock has been set: a position told so far may be anywhere.
+    ClockSet,
     /// A message from another router.
     Message(RouterId, Vec<u8>),
 }
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -239,6 +239,7 @@
             Event::Room(id, most) => self.members.get_mut(&id).into_iter().for_each(|m| m.most = Some(most)),
             Event::Outcome(o) => self.outcome(o, out),
             Event::Lapsed(id) => self.forget(id, out),
+            Event::ClockSet => self.clock_set(),
             Event::Probed(m, status, _, report) => self.probed(m, status, report, out),
         }
         let due = now.plus(if self.held.is_empty() { REST_SWEEP } else { SWEEP });
@@ -248,6 +249,15 @@
         }
     }
 
+    /// Positions are Unix times. Once the clock that they are read by has been set, those told before lie wrong
+    /// by as much; what a read that is under way has to see is all that has been so far.
+    fn clock_set(&mut self) {
+        for m in self.members.values_mut() {
+            m.position = None;
+        }
+        self.jobs.values_mut().filter(|j| j.floor > Time(0)).for_each(|j| j.floor = j.floor.max(self.now));
+    }
+
     fn list(&mut self, form: ListForm, entries: Vec<Entry>, out: &mut Vec<Action>) {
         if form != ListForm::Delta && !self.set.only_draining_binds {
             let named: BTreeSet<_> = entries.iter().map(|e| e.member).collect();
--- a/crates/router/src/routing/members.rs
+++ b/crates/router/src/routing/members.rs
@@ -1,5 +1,7 @@
 //! Members by the names that discovery gives them.
 
+use super::terms::unix_ms;
+use super::wall::Wall;
 use crate::protocol::discovery::{HostEntry, HostList, HostState};
 use basalthill_policy::api::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -43,6 +45,7 @@
     pub fn take(
         &mut self,
         told: Time,
+        wall: Wall,
         list: HostList,
         ended: &mut Vec<(SocketAddr, Time)>,
     ) -> (ListForm, Vec<Entry>) {
@@ -86,7 +89,13 @@
             let before = self.addrs[member.0 as usize];
             // A list may come long after a start: what has been used since then is sound.
             let moved = addr.is_some_and(|a| before != Some(a));
-            let at = if moved { Time(u64::MAX) } else { Time(host.started_ms.saturating_mul(1_000_000)) };
+            // By the clock that the start was first told on: told again, it is the same start.
+            let before_it = self.lines.get(member.0 as usize).and_then(|line| line.started);
+            let started = match before_it.filter(|_| !restarted) {
+                Some(started) => Some(started),
+                None => Some(wall.own(unix_ms(host.started_ms))).filter(|at| *at > Time(0)),
+            };
+            let at = if moved { Time(u64::MAX) } else { started.unwrap_or_default() };
             ended.extend(before.filter(|_| moved || restarted).map(|b| (b, at)));
             match (addr, host.state) {
                 (Some(addr), _) => self.addrs[member.0 as usize] = Some(addr),
@@ -110,7 +119,7 @@
                 },
                 weight: host.weight,
                 primary: host.rank.as_deref() == Some("source"),
-                started: (host.started_ms != 0).then_some(Time(host.started_ms.saturating_mul(1_000_000))),
+                started,
                 told,
             };
             match self.lines.get_mut(member.0 as usize) {
@@ -122,6 +131,19 @@
         (if full { ListForm::Full } else { ListForm::Delta }, entries)
     }
 
+    /// Lines of members whose starts lie later by a clock that has been set than by the one before.
+    pub fn starts_later(&mut self, wall: Wall) -> Vec<Entry> {
+        let mut later = Vec::new();
+        for (line, parting) in self.lines.iter_mut().zip(&self.parting) {
+            let started = Some(wall.own(unix_ms(parting.started_ms)));
+            if parting.started_ms > 0 && started > line.started {
+                line.started = started;
+                later.push(line.clone());
+            }
+        }
+        later
+    }
+
     /// When a member's parting was told, if it binds.
     pub fn parting(&self, member: MemberId) -> Option<Time> {
         self.parting.get(member.0 as usize)?.told
@@ -143,3 +165,6 @@
         !self.groups.is_empty() && !self.groups.contains(&group)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -10,6 +10,7 @@
 mod tally;
 mod terms;
 mod timers;
+mod wall;
 
 pub use clock::Clock;
 pub use limits::FromFleet;
@@ -33,6 +34,7 @@
 use std::rc::Rc;
 use terms::{by_code, of_the_statement, owner, reported, unix_ms};
 use timers::{Timer, TimerKey, Timers};
+use wall::Wall;
 
 /// A client's connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -189,6 +191,8 @@
     /// Limits over all routers, where there are any.
     limits: Option<Limits>,
     members: Members,
+    /// Where Unix times lie on the clock by which inputs come.
+    wall: Wall,
     /// When each client's connection was accepted.
     accepted: BTreeMap<ClientId, Time>,
     requests: Requests,
@@ -220,6 +224,7 @@
             desk: None,
             limits: None,
             members,
+            wall: Wall::default(),
             accepted: BTreeMap::new(),
             requests: Requests::default(),
             probes: Probes::default(),
@@ -229,13 +234,31 @@
             events: VecDeque::new(),
             actions: Vec::new(),
         };
-        let entries = known.map(|list| router.members.take(now, list, &mut Vec::new()).1);
+        let entries = known.map(|list| router.members.take(now, router.wall, list, &mut Vec::new()).1);
         let entries = entries.unwrap_or_default();
         router.events.push_back(Event::List(ListForm::Cached, entries));
         router.run(now, out);
         router
     }
 
+    /// Takes note of how far the system's clock is ahead of the one by which inputs come. Once it has been set,
+    /// positions told before can't be compared with those told from then on, and starts count by whichever
+    /// clock makes them later.
+    pub fn follow_clock(&mut self, now: Time, ahead_ns: i64, out: &mut Vec<Effect>) {
+        if self.wall.follow(ahead_ns) {
+            log::warn!("the system's clock has been set: {} ms from where it was", self.wall.ahead_ms());
+            self.events.push_back(Event::ClockSet);
+            let restarted = self.members.starts_later(self.wall);
+            self.events.push_back(Event::List(ListForm::Delta, restarted));
+            self.run(now, out);
+        }
+    }
+
+    /// A time as a Unix time.
+    pub fn unix(&self, now: Time) -> Time {
+        self.wall.unix(now)
+    }
+
     /// Takes an input; appends what is to be done.
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Effect>) {
         match input {
@@ -270,7 +293,7 @@
             Input::Ended(exchange, ended) => self.ended(now, exchange, ended, out),
             Input::List(list, told) => {
                 let mut ended = Vec::new();
-                let (form, entries) = self.members.take(told.min(now), list, &mut ended);
+                let (form, entries) = self.members.take(told.min(now), self.wall, list, &mut ended);
                 out.extend(ended.into_iter().map(|(addr, at)| Effect::CloseOlder(addr, at)));
                 self.events.push_back(Event::List(form, entries));
                 self.list_limits(now);
@@ -444,7 +467,7 @@
             tenant: TenantId(tenant as u16),
             give_up,
             group,
-            floor: floor.at,
+            floor: self.wall.own(floor.at),
             lead: floor.lead,
             repeat: statement.repeat,
         };
@@ -493,7 +516,13 @@
         let query = Query::Statement(Rc::clone(&open.statement), patience, open.floor_ms);
         if let Some(bond) = open.bond.as_ref().filter(|b| b.write && attempt == Attempt(0)) {
             let owner = owner(&self.sessions, &open.statement);
-            let token = self.sessions.early(now, owner, open.group, bond, now.plus(wait));
+            let token = self.sessions.early(
+                self.wall.unix(now),
+                owner,
+                open.group,
+                bond,
+                self.wall.unix(now.plus(wait)),
+            );
             out.extend(token.map(|t| Effect::Token(open.client, t)));
         }
         let (exchange, client) = (ExchangeId::Attempt(id, attempt), Some(open.client));
@@ -603,7 +632,7 @@
     /// A request has ended; its row goes once no attempt is out.
     fn close(&mut self, now: Time, id: RequestId) {
         if let Some(Open { group, bond: Some(bond), .. }) = self.requests.close(id) {
-            self.sessions.end(now, group, &bond);
+            self.sessions.end(self.wall.unix(now), group, &bond);
         }
     }
 
@@ -633,7 +662,7 @@
         self.tally.attempt(status);
         self.place_back(now, id, attempt, x.member, status);
         if let Some(position) = t.as_of {
-            self.sessions.told(now, x.sent, unix_ms(position));
+            self.sessions.told(self.wall.unix(now), self.wall.unix(x.sent), unix_ms(position));
         }
         if let Some(open) = self.requests.get_mut(id).filter(|o| !o.served && !status.proves_unrun()) {
             open.bond.iter_mut().for_each(|b| b.doubt = b.write);
@@ -643,20 +672,26 @@
             self.close(now, id);
         }
         let role = t.primary.map(|p| if p { Role::Primary } else { Role::Replica });
-        let standing = Standing { position: t.as_of.map(unix_ms), role };
+        let standing = self.on_own_clock(Standing { position: t.as_of.map(unix_ms), role });
         let report = t.vitals.as_deref().map(|v| reported(&self.site.columns, v)).unwrap_or_default();
+        let report = self.on_own_clock(report);
         let took = now.since(x.sent);
         let outcome =
             Outcome { request: id, attempt, member: x.member, status, took, ended, standing, report };
         self.events.push_back(Event::Outcome(outcome));
     }
 
+    fn on_own_clock(&self, standing: Standing) -> Standing {
+        Standing { position: standing.position.map(|p| self.wall.own(p)), ..standing }
+    }
+
     /// Tells the one outcome of a probe that has been taken off the books.
     fn probed(&mut self, now: Time, x: Exchange, status: Status, report: Standing) {
         self.tally.probes += 1;
         if let Some(position) = report.position {
-            self.sessions.told(now, x.sent, position);
+            self.sessions.told(self.wall.unix(now), self.wall.unix(x.sent), position);
         }
+        let report = self.on_own_clock(report);
         self.tally.probes_failed += u32::from(status != Status::Ok);
         self.events.push_back(Event::Probed(x.member, status, now.since(x.sent), report));
     }
--- a/crates/router/src/routing/sessions.rs
+++ b/crates/router/src/routing/sessions.rs
@@ -30,8 +30,9 @@
             after: statement.after.map(unix_ms),
             tokens: &tokens,
             // One that nobody saw come counts as new, which is stricter.
-            accepted: self.accepted.get(&client).copied().unwrap_or(now),
+            accepted: self.wall.unix(self.accepted.get(&client).copied().unwrap_or(now)),
         };
+        let now = self.wall.unix(now);
         let bond = self.sessions.begin(now, &asked, write);
         let floor = if write { Floor::default() } else { self.sessions.floor(now, &asked, &bond) };
         (Some(bond), floor)
@@ -43,7 +44,7 @@
         let again = std::mem::replace(&mut open.served, true);
         let Some(bond) = open.bond.as_mut().filter(|_| !again) else { return };
         let owner = owner(&self.sessions, &open.statement);
-        let token = self.sessions.served(now, owner, open.group, bond, position);
+        let token = self.sessions.served(self.wall.unix(now), owner, open.group, bond, position);
         out.extend(token.filter(|_| !open.answered).map(|t| Effect::Token(open.client, t)));
     }
 
@@ -54,7 +55,8 @@
         let still_out = open.attempts.iter().any(Option::is_some);
         let Some(bond) = open.bond.as_mut().filter(|b| b.write && (b.doubt || still_out)) else { return };
         bond.doubt = true;
-        let token = self.sessions.unknown(now, owner(&self.sessions, &open.statement), open.group, bond);
+        let owner = owner(&self.sessions, &open.statement);
+        let token = self.sessions.unknown(self.wall.unix(now), owner, open.group, bond);
         out.extend(token.map(|t| Effect::Token(open.client, t)));
     }
 }
--- a/crates/router/src/transport/disk.rs
+++ b/crates/router/src/transport/disk.rs
@@ -62,7 +62,9 @@
 /// Keeps the book at a stop in good order, all answers given.
 pub fn keep(hub: &Hub, own: &Own, router: &str) {
     let Some(place) = own.sessions.as_ref().and_then(|s| s.snapshot.as_ref()) else { return };
-    let bytes = snapshot::write(hub.router.borrow_mut().sessions(), hub.clock.now(), router);
+    let mut routing = hub.router.borrow_mut();
+    let now = routing.unix(hub.clock.now());
+    let bytes = snapshot::write(routing.sessions(), now, router);
     match put(&place.path, &bytes) {
         Ok(()) => log::info!("snapshot {}: kept, {} bytes", place.path.display(), bytes.len()),
         Err(e) => log::warn!("snapshot {}: not kept: {e}", place.path.display()),
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -144,7 +144,12 @@
     /// Hands an input to routing and carries out what comes of it.
     fn input(self: &Rc<Hub>, input: Input) {
         let mut effects = Vec::new();
-        self.router.borrow_mut().handle(self.clock.now(), input, &mut effects);
+        let (now, mut router) = (self.clock.now(), self.router.borrow_mut());
+        if let Some(ahead) = self.clock.ahead_ns() {
+            router.follow_clock(now, ahead, &mut effects);
+        }
+        router.handle(now, input, &mut effects);
+        drop(router);
         self.carry_out(effects);
     }
 
@@ -300,7 +305,10 @@
     rejoin(hub, &started.name, again.own.fleet.as_ref());
     let plan = again.own.sessions.as_ref().map(|s| s.plan.clone());
     let bytes = started.limits.book_bytes();
-    hub.router.borrow_mut().sessions().change(hub.clock.now(), plan, bytes, started.seed);
+    let mut router = hub.router.borrow_mut();
+    let now = router.unix(hub.clock.now());
+    router.sessions().change(now, plan, bytes, started.seed);
+    drop(router);
     match again.discovery == hub.following.addr() {
         true => log::info!("configuration: read again, discovery stays at {}", again.discovery),
         false => {
