--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod served;
+pub mod shim;
 
 use basalthill_config::settings::{read, Site};
 use basalthill_policy::api::Time;
--- /dev/null
+++ b/crates/router/tests/common/shim.rs
@@ -0,0 +1,32 @@
+//! The program with some of its calls to the system failing, by a small library loaded before the system's.
+
+use basalthill_standin::fleet::file;
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+pub const FOLDER: &str = env!("CARGO_TARGET_TMPDIR");
+
+/// A script that starts the program after some lines of its own.
+pub fn program(lines: &str) -> PathBuf {
+    let text = format!("#!/bin/sh\n{lines}\nexec {} \"$@\"\n", env!("CARGO_BIN_EXE_basalthill"));
+    let path = file(Path::new(FOLDER), "program.sh", &text).unwrap();
+    std::fs::set_permissions(&path, std::fs::Permissions::from_mode(0o755)).unwrap();
+    path
+}
+
+/// The library that stands before the system's.
+pub fn library() -> PathBuf {
+    let library = file(Path::new(FOLDER), "local_calls.so", "").unwrap();
+    let source = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/shim/local_calls.c");
+    let mut build = Command::new("cc");
+    build.args(["-shared", "-fPIC", "-O1", "-o"]).arg(&library).arg(source).arg("-ldl");
+    assert!(build.status().unwrap().success(), "the library is built");
+    library
+}
+
+/// The program with calls that fail: name, error, and one in how many.
+pub fn failing(calls: &[(&str, i32, u32)]) -> PathBuf {
+    let calls: String = calls.iter().map(|(name, error, every)| format!(" {name}={error}/{every}")).collect();
+    program(&format!("export LOCAL_CALLS='{calls}' LD_PRELOAD={}", library().display()))
+}
--- a/crates/router/tests/local_calls.rs
+++ b/crates/router/tests/local_calls.rs
@@ -2,46 +2,21 @@
 //! descriptors. They are no end of a connection, no failure of a member, and no signal to stop. And the
 //! system's clock, which may be set while the router runs.
 
+mod common;
+
 use basalthill_standin::client::{Answer, Client};
 use basalthill_standin::discovery::{list, Discovery};
 use basalthill_standin::fleet::{file, Router, Start, World};
 use basalthill_standin::group::Manner;
 use basalthill_standin::host::{Host, Reply};
 use basalthill_standin::{unix_ms, PATIENCE, SETTINGS};
+use common::shim::{failing, library, program, FOLDER};
 use std::net::TcpStream;
-use std::os::unix::fs::PermissionsExt;
-use std::path::{Path, PathBuf};
-use std::process::Command;
+use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-const FOLDER: &str = env!("CARGO_TARGET_TMPDIR");
-
-/// A script that starts the program after some lines of its own.
-fn program(lines: &str) -> PathBuf {
-    let text = format!("#!/bin/sh\n{lines}\nexec {} \"$@\"\n", env!("CARGO_BIN_EXE_basalthill"));
-    let path = file(Path::new(FOLDER), "program.sh", &text).unwrap();
-    std::fs::set_permissions(&path, std::fs::Permissions::from_mode(0o755)).unwrap();
-    path
-}
-
-/// The library that stands before the system's.
-fn library() -> PathBuf {
-    let library = file(Path::new(FOLDER), "local_calls.so", "").unwrap();
-    let source = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/shim/local_calls.c");
-    let mut build = Command::new("cc");
-    build.args(["-shared", "-fPIC", "-O1", "-o"]).arg(&library).arg(source).arg("-ldl");
-    assert!(build.status().unwrap().success(), "the library is built");
-    library
-}
-
-/// The program with calls that fail: name, error, and one in how many.
-fn failing(calls: &[(&str, i32, u32)]) -> PathBuf {
-    let calls: String = calls.iter().map(|(name, error, every)| format!(" {name}={error}/{every}")).collect();
-    program(&format!("export LOCAL_CALLS='{calls}' LD_PRELOAD={}", library().display()))
-}
-
 fn read(n: usize) -> String {
     format!("SELECT v FROM records WHERE k = 'a{n}' /* id=a{n},c=view,t=acme,d=900,cluster=2 */")
 }
