A drain's grace covers a router that is held up before it writes

Paths: Policy::legal and Router::may_write, both by rules.drainGrace as it came, less a tick and less nothing.

Change: the router's settings bring the grace less 0.15 s (crates/config, HELD_UP), none if that is all of it.

Measured: the test of the configuration fails before (1000 ms wanted as 850).

--- a/crates/config/src/router.rs
+++ b/crates/config/src/router.rs
@@ -127,6 +127,10 @@
 /// its last.
 pub const CLIENT_WHOLE: Time = Time::ms(2000);
 
+/// A router may be held up for this long between a look at its clock and its writing. A drain's grace has to
+/// cover that: the router's own grace is shorter by as much.
+pub const HELD_UP: Time = Time::ms(150);
+
 /// A client takes an answer within this time, or its connection is closed.
 pub const CLIENT_TAKES: Time = Time::ms(5000);
 
@@ -233,8 +237,9 @@
     if !(file.known.is_null() || file.known.is_object()) {
         return Err(ConfigError::new("known", "must be an object"));
     }
-    let site = settings::from_value(file.settings)?;
+    let mut site = settings::from_value(file.settings)?;
     in_range(&site).map_err(|e| e.under("settings"))?;
+    site.settings.drain_grace = site.settings.drain_grace.minus(HELD_UP);
     let limits = Limits { sockets: file.limits.sockets, memory_mb: file.limits.memory_mb };
     let (known, own) = (file.known, Own::default());
     Ok(RouterConfig { name, listen, discovery, seed, limits, known, site, own, overruled })
--- a/crates/config/tests/config.rs
+++ b/crates/config/tests/config.rs
@@ -136,3 +136,15 @@
     let error = load(&file).err().unwrap();
     assert!(error.key == "settings.bounds" && error.problem.contains("probes"), "{error}");
 }
+
+#[test]
+fn a_drains_grace_covers_a_router_that_is_held_up_before_it_writes() {
+    let grace = |ms: u64| {
+        let mut file = sound();
+        file["settings"]["rules"]["drainGrace"] = (ms * 1_000_000).into();
+        parse(file.to_string().as_bytes(), |_| None, Reading::Start).unwrap().site.settings.drain_grace
+    };
+    assert_eq!(grace(1000), Time::ms(850));
+    assert_eq!(grace(250), Time::ms(100));
+    assert_eq!(grace(100), Time(0), "none is left: nothing is sent from the notice on");
+}
