Test: over a late connection a host is told more time than its client has (known red)

Measured on sockets: a connection that is welcomed after 600 ms, d=2900: told 2895 ms with 2.3 s left.

--- a/crates/router/tests/effect_moments.rs
+++ b/crates/router/tests/effect_moments.rs
@@ -140,3 +140,26 @@
     }
     assert_eq!(slow.count("INSERT"), 0);
 }
+
+/// The time that a host is told is what is left as the statement is written, not as its connection was begun.
+#[test]
+fn over_a_connection_that_comes_up_late_a_host_is_told_no_more_time_than_is_left() {
+    let host = host(|_| Reply::Last(b"x".to_vec()));
+    let late = SETTINGS.replace("\"connectTimeout\": 250000000", "\"connectTimeout\": 2000000000");
+    let served = served(host.addr, &late);
+    let mut client = served.client();
+    host.seen.change(|s| s.aloof = true);
+    let sent = Instant::now();
+    client.send(&write("late")).unwrap();
+    std::thread::sleep(Duration::from_millis(600));
+    host.seen.change(|s| s.aloof = false);
+    let (_, text) = host.saw("id=late").unwrap();
+    let told: u64 = text.split_once(",d=").unwrap().1.split_once(',').unwrap().0.parse().unwrap();
+    let at = host.seen.lock();
+    let n = at.statements.iter().position(|(_, t)| t.contains("id=late")).unwrap();
+    let left = Duration::from_millis(2900).saturating_sub(at.times[n] - sent);
+    assert!(
+        Duration::from_millis(told) <= left + Duration::from_millis(150),
+        "{told} ms told, {left:?} left"
+    );
+}
