Tests: a rush, and the end of a quiet time, against a cold member (known red)

Change: tests/cold.rs plays a fleet that was asked nothing for 30 s, and one that is asked three times as much from the start on; all plays are judged, the five worst are told, and the fleet is there for 60 s before, not 20.

--- a/crates/policy/tests/cold.rs
+++ b/crates/policy/tests/cold.rs
@@ -16,6 +16,8 @@
 /// The member starts at this time, and is watched up to the end.
 const CHANGE: u64 = 120_000;
 const END: u64 = 130_000;
+/// Before that, it is asked for so long.
+const BEFORE: u64 = 60_000;
 /// Requests a second of all routers together.
 const RATE: f64 = 240.0;
 
@@ -102,6 +104,26 @@
     /// All have been there for a while; half of what they are asked are writes, and its group has lost its
     /// primary with the replicas: writes look for a new one.
     Headless,
+    /// All have been there for a while and were asked nothing for half a minute; then all goes on at once.
+    Quiet,
+    /// All have been there for a while; three times as much is asked from then on.
+    Rush,
+}
+
+impl Fleet {
+    /// By how much the usual rate is multiplied.
+    fn pace(self, ms: u64) -> f64 {
+        match self {
+            Fleet::Quiet if (CHANGE - 30_000..CHANGE).contains(&ms) => 0.0,
+            Fleet::Rush if ms >= CHANGE => 3.0,
+            _ => 1.0,
+        }
+    }
+
+    /// What a warm member takes each second while all is as usual, where it can't be seen meanwhile.
+    fn usual(self) -> Option<f64> {
+        matches!(self, Fleet::Quiet | Fleet::Rush).then_some(RATE / f64::from(GROUPS * 2))
+    }
 }
 
 /// Plays a fleet; when the cold member was sent something, and what one warm member took each second meanwhile.
@@ -112,16 +134,16 @@
     // Some get several times the mean, most less than it.
     let parts: Vec<f64> = (0..ROUTERS).map(|_| -dice.roll().max(1e-9).ln()).collect();
     let all: f64 = parts.iter().sum();
-    let start = CHANGE - if fleet == Fleet::Restarted { 0 } else { 20_000 };
+    let start = CHANGE - if fleet == Fleet::Restarted { 0 } else { BEFORE };
     let headless = fleet == Fleet::Headless;
     let mut routers: Vec<Router> = (0..ROUTERS)
         .map(|n| {
-            let from = if fleet == Fleet::Restarted && n % 3 == 0 { CHANGE - 20_000 } else { start };
+            let from = if fleet == Fleet::Restarted && n % 3 == 0 { CHANGE - BEFORE } else { start };
             Router::new(set.clone(), (dice.roll() * 1e15) as u64, from, parts[n] / all)
         })
         .collect();
     let (mut to_cold, mut warm) = (Vec::new(), 0u32);
-    for ms in (CHANGE - 20_000..END).step_by(STEP as usize) {
+    for ms in (CHANGE - BEFORE..END).step_by(STEP as usize) {
         let now = Time::ms(ms);
         for router in routers.iter_mut().filter(|r| r.from <= ms) {
             let mut events = Vec::new();
@@ -155,7 +177,7 @@
                     report: Standing::default(),
                 }));
             }
-            if dice.roll() < RATE * router.part * STEP as f64 / 1000.0 {
+            if dice.roll() < fleet.pace(ms) * RATE * router.part * STEP as f64 / 1000.0 {
                 router.asked += 1;
                 let write = headless && dice.roll() < 0.5;
                 events.push(Event::Request(Request {
@@ -198,7 +220,8 @@
         }
     }
     let counted = (GROUPS - 1) * if headless { 3 } else { 2 };
-    (to_cold, f64::from(warm) / f64::from(counted) / ((END - CHANGE) as f64 / 1000.0))
+    let seen = f64::from(warm) / f64::from(counted) / ((END - CHANGE) as f64 / 1000.0);
+    (to_cold, fleet.usual().unwrap_or(seen))
 }
 
 /// The most by which a window was over its budget, in units of what is put down to chance.
@@ -216,12 +239,18 @@
 fn hold(fleet: Fleet) {
     let set = settings();
     let mut sent = 0;
+    let mut over = Vec::new();
     for seed in 1..=100 {
         let (to_cold, warm) = play(seed, fleet);
-        let over = worst(&to_cold, warm, &set);
-        assert!(over <= 1.0, "{fleet:?}, seed {seed}: {over:.2} times what chance may add");
+        over.push((worst(&to_cold, warm, &set), seed));
         sent += to_cold.len();
     }
+    over.sort_by(|a, b| b.0.total_cmp(&a.0));
+    assert!(
+        over[0].0 <= 1.0,
+        "{fleet:?}: over by so many times what chance may add, seed: {:.2?}",
+        &over[..5]
+    );
     assert!(sent > 100 * 30, "the cold member gets its part: {sent} in a hundred plays");
 }
 
@@ -242,3 +271,13 @@
 fn writes_that_look_for_a_primary_spare_a_cold_member_together() {
     hold(Fleet::Headless);
 }
+
+#[test]
+fn after_a_long_quiet_time_a_cold_member_is_spared() {
+    hold(Fleet::Quiet);
+}
+
+#[test]
+fn a_rush_spares_a_cold_member() {
+    hold(Fleet::Rush);
+}
