A cold member's part follows what is asked for within the time that it can bear

Where the pace jumps, or goes on after a quiet time, the mean lags for seconds, and the part is too large by as much. Ruled out: the credit (a router's own rate, over a minute, errs to the low side after quiet, and is limited in a rush).

Change: the larger of that mean and of one that fades within rules.fall, over all groups. No new constant.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -199,9 +199,10 @@
     served: (f64, Time), // work, fading
     wanted: BTreeMap<GroupId, [(f64, Time); 2]>, // work asked for, fading: what replicas may do, and the rest
     wanted_all: [(f64, Time); 2],
-    waits: [(f64, Time); 2], // mean wait at replicas and at primaries
-    weight: f64,             // of all members listed
-    stood: Time,             // how long this router itself stood still before this round, beyond its sweeps
+    wanted_now: [(f64, Time); 2], // the same, fading within the time that a cold member can bear
+    waits: [(f64, Time); 2],      // mean wait at replicas and at primaries
+    weight: f64,                  // of all members listed
+    stood: Time, // how long this router itself stood still before this round, beyond its sweeps
 }
 
 impl Policy {
@@ -458,13 +459,14 @@
         }
         // Without a primary, replicas are sent what looks for one beside their reads: one part of both.
         let leaderless = self.leader(m.group).is_none();
-        let both = |a: &[(f64, Time); 2]| {
+        let rate = |a: &[(f64, Time); 2], over_s: f64| {
             let kinds = a.iter().enumerate().filter(|(kind, _)| leaderless || *kind == needs);
-            kinds.map(|(_, asked)| self.faded(*asked, ASKED_OVER_S)).sum::<f64>()
+            kinds.map(|(_, asked)| self.faded(*asked, over_s)).sum::<f64>() / self.over(over_s)
         };
-        let there = self.wanted.get(&m.group).map_or(0.0, both);
-        let mean = both(&self.wanted_all) / self.groups.len().max(1) as f64;
-        let asked = there.max(mean) / self.over(ASKED_OVER_S);
+        let there = self.wanted.get(&m.group).map_or(0.0, |a| rate(a, ASKED_OVER_S));
+        // A rush, or the end of a quiet time, is seen within the time in which it could push the member over.
+        let all = rate(&self.wanted_all, ASKED_OVER_S).max(rate(&self.wanted_now, self.set.fall.secs()));
+        let asked = there.max(all / self.groups.len().max(1) as f64);
         let part = COLD_SHARE * self.set.fall_multiple * self.warmth(m) * self.own(m) / asked.max(1e-9);
         part * (1.0 - self.few())
     }
@@ -695,6 +697,8 @@
                 (self.faded(before, ASKED_OVER_S), self.faded(self.wanted_all[needs], ASKED_OVER_S));
             self.wanted.entry(group).or_default()[needs] = (there + work, self.now);
             self.wanted_all[needs] = (all + work, self.now);
+            let recent = self.faded(self.wanted_now[needs], self.set.fall.secs());
+            self.wanted_now[needs] = (recent + work, self.now);
         }
     }
 
