Rename house words in transport: admission, rejection slots, eviction, semaphore

No behaviour changes.

| word | standard term | | --- | --- | | Seat, seats, seat() | Admitted, admissions, admission() | | doors, door | rejection_slots, rejection_slot | | Room, room(), make_room() | Eviction, eviction(), evict() | | Budget of transport, budget.rs, Hub::budget | Semaphore, semaphore.rs, Hub::descriptors | | part (of a socket) | lingering_close | | part (of a client) | close_between_requests | | turn_away, turned_away | reject, rejected | | dismiss | close_with_error | | Stage::Leaving | Stage::Draining |

Budgets of the fleet keep their name: they are rates, no semaphores.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -250,8 +250,8 @@
         }
     }
 
-    /// Positions are Unix times. Once the clock that they are read by has been set, those told before lie wrong
-    /// by as much; what a read that is under way has to see is all that has been so far.
+    /// Positions are Unix times. Once the clock that they are read by has been set, those told before lie
+    /// wrong by as much; what a read that is under way has to see is all that has been so far.
     fn clock_set(&mut self) {
         for m in self.members.values_mut() {
             m.position = None;
--- a/crates/policy/tests/cold.rs
+++ b/crates/policy/tests/cold.rs
@@ -126,7 +126,8 @@
     }
 }
 
-/// Plays a fleet; when the cold member was sent something, and what one warm member took each second meanwhile.
+/// Plays a fleet; when the cold member was sent something, and what one warm member took each second
+/// meanwhile.
 fn play(seed: u64, fleet: Fleet) -> (Vec<Time>, f64) {
     let mut dice = Dice(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
     let mut set = settings();
--- a/crates/router/src/routing/clock.rs
+++ b/crates/router/src/routing/clock.rs
@@ -26,7 +26,8 @@
         self.anchor.plus(Time(self.start.elapsed().as_nanos() as u64))
     }
 
-    /// How far the system's clock is ahead of this one, in nanoseconds; none if they could not be read together.
+    /// How far the system's clock is ahead of this one, in nanoseconds; none if they could not be read
+    /// together.
     pub fn ahead_ns(&self) -> Option<i64> {
         let before = self.now();
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -241,9 +241,9 @@
         router
     }
 
-    /// Takes note of how far the system's clock is ahead of the one by which inputs come. Once it has been set,
-    /// positions told before can't be compared with those told from then on, and starts count by whichever
-    /// clock makes them later.
+    /// Takes note of how far the system's clock is ahead of the one by which inputs come. Once it has been
+    /// set, positions told before can't be compared with those told from then on, and starts count by
+    /// whichever clock makes them later.
     pub fn follow_clock(&mut self, now: Time, ahead_ns: i64, out: &mut Vec<Effect>) {
         if self.wall.follow(ahead_ns) {
             log::warn!("the system's clock has been set: {} ms from where it was", self.wall.ahead_ms());
--- a/crates/router/src/routing/wall.rs
+++ b/crates/router/src/routing/wall.rs
@@ -1,5 +1,5 @@
-//! Unix times, as hosts, discovery and clients tell them, on the router's own clock. That one never steps; the
-//! system's may be set at any time.
+//! Unix times, as hosts, discovery and clients tell them, on the router's own clock. That one never steps;
+//! the system's may be set at any time.
 
 use basalthill_policy::api::Time;
 
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -1,7 +1,7 @@
 //! One client's connection.
 
-use super::budget::{Budget, Permit, LOOK_AGAIN};
 use super::conversation::{Conversation, Step};
+use super::semaphore::{Permit, Semaphore, LOOK_AGAIN};
 use super::{io, Hub};
 use crate::protocol::client::{self, CancelKey};
 use crate::routing::{Answer, Asked, ClientId, Command, Input};
@@ -29,7 +29,7 @@
     /// It has had its answers and asked nothing more since then.
     Idle(Instant),
     /// It has been told that its connection ends.
-    Leaving(Instant),
+    Draining(Instant),
 }
 
 /// Where a client's answers are left for its task, and what the connection is at.
@@ -57,19 +57,19 @@
 
 /// How often room is looked for before a client is turned away: no longer than one that has just come may
 /// take to ask.
-pub const SEAT_TRIES: u32 = 8;
+pub const ADMISSION_TRIES: u32 = 8;
 
 /// The clients of a router, and what there is for them.
 pub struct Clients {
     slots: RefCell<BTreeMap<ClientId, Rc<Slot>>>,
     /// Their part of the descriptors.
-    seats: Budget,
+    admissions: Semaphore,
     /// From so many on, quiet ones make room for newcomers.
     crowd: usize,
     /// Places for those that are turned away gently.
-    pub doors: Budget,
+    pub rejection_slots: Semaphore,
     /// Places for large statements.
-    large: Budget,
+    large: Semaphore,
     /// Empty queries are answered: the router has its list, or has waited for it long enough.
     pub ready: Cell<bool>,
     /// They are told when their connection is closed between two requests.
@@ -77,7 +77,7 @@
     /// Draws the secrets of cancel keys.
     secrets: RandomState,
     /// Turned away, and told to go, since the log told of them.
-    turned_away: Cell<u32>,
+    rejected: Cell<u32>,
     dismissed: Cell<u32>,
 }
 
@@ -86,14 +86,14 @@
     pub fn new(config: &RouterConfig) -> Clients {
         Clients {
             slots: RefCell::default(),
-            seats: Budget::new(config.limits.client_descriptors()),
+            admissions: Semaphore::new(config.limits.client_descriptors()),
             crowd: config.limits.quiet_clients(),
-            doors: Budget::new(SOCKETS_RESERVED / 3),
-            large: Budget::new(config.limits.large_statements()),
+            rejection_slots: Semaphore::new(SOCKETS_RESERVED / 3),
+            large: Semaphore::new(config.limits.large_statements()),
             ready: Cell::new(false),
             farewell: Cell::new(config.own.farewell),
             secrets: RandomState::new(),
-            turned_away: Cell::new(0),
+            rejected: Cell::new(0),
             dismissed: Cell::new(0),
         }
     }
@@ -132,28 +132,28 @@
 
     /// How many were turned away, and told to go, since this was last asked.
     pub fn sent_away(&self) -> (u32, u32) {
-        (self.turned_away.take(), self.dismissed.take())
+        (self.rejected.take(), self.dismissed.take())
     }
 
     /// Descriptors for a client, out of the clients' part. When there are many, one that has asked nothing
     /// makes room, or the one that has been quiet for longest; one that has only just come is given a moment,
     /// and one in the middle of a message is ended only where there is no place at all. Room is looked for so
     /// often.
-    pub async fn seat(&self, hub: &Hub, tries: u32) -> Option<[Permit; 2]> {
+    pub async fn admission(&self, hub: &Hub, tries: u32) -> Option<[Permit; 2]> {
         if self.slots.borrow().len() >= self.crowd {
-            self.make_room(Room::Begun(Duration::MAX)).await;
+            self.evict(Eviction::Begun(Duration::MAX)).await;
         }
         for left in (0..tries).rev() {
-            if let Some(seat) = self.seats.take() {
-                return Some([hub.permit().await?, seat]);
+            if let Some(admitted) = self.admissions.take() {
+                return Some([hub.permit().await?, admitted]);
             }
-            match self.make_room(Room::Soon).await {
-                Room::No => break,
-                Room::Soon if left == 0 => break,
-                Room::Soon => drop(Timer::after(LOOK_AGAIN).await),
-                Room::Begun(_) | Room::Idle(_) | Room::Unasked(_) => {
-                    if let Some(seat) = self.seats.take() {
-                        return Some([hub.permit().await?, seat]);
+            match self.evict(Eviction::Soon).await {
+                Eviction::No => break,
+                Eviction::Soon if left == 0 => break,
+                Eviction::Soon => drop(Timer::after(LOOK_AGAIN).await),
+                Eviction::Begun(_) | Eviction::Idle(_) | Eviction::Unasked(_) => {
+                    if let Some(admitted) = self.admissions.take() {
+                        return Some([hub.permit().await?, admitted]);
                     }
                 }
             }
@@ -162,9 +162,9 @@
     }
 
     /// Ends the connection of the client that makes room most readily, if it does so more readily than told.
-    pub async fn make_room(&self, than: Room) -> Room {
-        let found = self.slots.borrow().values().map(|s| (s.room(), Rc::clone(s))).max_by_key(|f| f.0);
-        let Some((room, slot)) = found else { return Room::No };
+    pub async fn evict(&self, than: Eviction) -> Eviction {
+        let found = self.slots.borrow().values().map(|s| (s.eviction(), Rc::clone(s))).max_by_key(|f| f.0);
+        let Some((room, slot)) = found else { return Eviction::No };
         if room > than {
             slot.end();
             // Its task is awake by now and ends before this one goes on.
@@ -176,7 +176,7 @@
 
 /// How readily a client makes room where descriptors are short, the readiest last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Room {
+pub enum Eviction {
     /// Not at all.
     No,
     /// Not yet, but in a moment.
@@ -205,23 +205,25 @@
     }
 
     /// How readily it makes room.
-    pub fn room(&self) -> Room {
+    pub fn eviction(&self) -> Eviction {
         let (quiet, stage) = (Duration::from_nanos(CLIENT_QUIET.0), self.stage.get());
         // One that is at its message gets a good part of its time for it, whoever else may come.
         let begun = self.begun.get().map(|since| match since.elapsed() {
-            age if age < Duration::from_nanos(CLIENT_WHOLE.0 / 2) => Room::Soon,
-            age => Room::Begun(age),
+            age if age < Duration::from_nanos(CLIENT_WHOLE.0 / 2) => Eviction::Soon,
+            age => Eviction::Begun(age),
         });
         match stage {
-            Stage::Busy => Room::No,
+            Stage::Busy => Eviction::No,
             // Its task is on its way out.
-            _ if self.ended.get() => Room::Soon,
-            Stage::Unasked(since) | Stage::Idle(since) | Stage::Leaving(since) if since.elapsed() < quiet => {
-                Room::Soon
+            _ if self.ended.get() => Eviction::Soon,
+            Stage::Unasked(since) | Stage::Idle(since) | Stage::Draining(since)
+                if since.elapsed() < quiet =>
+            {
+                Eviction::Soon
             }
-            Stage::Idle(since) => begun.unwrap_or(Room::Idle(since.elapsed())),
-            Stage::Unasked(since) => begun.unwrap_or(Room::Unasked(since.elapsed())),
-            Stage::Leaving(since) => Room::Unasked(since.elapsed()),
+            Stage::Idle(since) => begun.unwrap_or(Eviction::Idle(since.elapsed())),
+            Stage::Unasked(since) => begun.unwrap_or(Eviction::Unasked(since.elapsed())),
+            Stage::Draining(since) => Eviction::Unasked(since.elapsed()),
         }
     }
 
@@ -264,8 +266,8 @@
     }
 }
 
-/// A client on the hub's books; off them when dropped, and its requests with it.
-struct Seat {
+/// A client that has been admitted. Dropped, it is off the hub's books, and its requests with it.
+struct Admitted {
     hub: Rc<Hub>,
     id: ClientId,
     slot: Rc<Slot>,
@@ -275,7 +277,7 @@
     permits: RefCell<Option<[Permit; 2]>>,
 }
 
-impl Drop for Seat {
+impl Drop for Admitted {
     fn drop(&mut self) {
         self.hub.clients.slots.borrow_mut().remove(&self.id);
         self.hub.input(Input::ClientGone(self.id));
@@ -302,14 +304,14 @@
     let since = hub.clock.now().minus(Time(came.elapsed().as_nanos() as u64));
     let talk = RefCell::new(Conversation::new(key, since));
     let (large, permits) = (RefCell::default(), RefCell::new(Some(permits)));
-    let seat = Seat { hub, id, slot, large, came, permits };
-    let over = converse(&seat, &stream, &talk).await;
+    let admitted = Admitted { hub, id, slot, large, came, permits };
+    let over = converse(&admitted, &stream, &talk).await;
     if let Some(message) = talk.borrow().dismissed() {
-        log::debug!("client {}: {message}", seat.id.0);
-        seat.hub.clients.dismissed.set(seat.hub.clients.dismissed.get() + 1);
+        log::debug!("client {}: {message}", admitted.id.0);
+        admitted.hub.clients.dismissed.set(admitted.hub.clients.dismissed.get() + 1);
     }
     if let Over::Closed = over {
-        linger(&seat, &stream).await;
+        linger(&admitted, &stream).await;
     }
 }
 
@@ -318,36 +320,36 @@
 /// may be lost: so the sending ends first, and what comes is dropped until the client closes, too. One that
 /// makes room for another gives its descriptor's place up and takes one of the few kept for such, if there is
 /// any; else it is not waited for.
-async fn linger(seat: &Seat, stream: &Async<TcpStream>) {
-    seat.slot.stage.set(Stage::Leaving(Instant::now()));
-    seat.slot.begun.take();
-    seat.large.take();
-    let mut door = None;
+async fn linger(admitted: &Admitted, stream: &Async<TcpStream>) {
+    admitted.slot.stage.set(Stage::Draining(Instant::now()));
+    admitted.slot.begun.take();
+    admitted.large.take();
+    let mut rejection_slot = None;
     let enough = async {
         loop {
-            if seat.slot.ended.get() && door.is_none() {
-                door = seat.hub.clients.doors.take();
-                if door.is_none() {
+            if admitted.slot.ended.get() && rejection_slot.is_none() {
+                rejection_slot = admitted.hub.clients.rejection_slots.take();
+                if rejection_slot.is_none() {
                     return;
                 }
-                seat.permits.take();
+                admitted.permits.take();
             }
-            seat.slot.news().await;
+            admitted.slot.news().await;
         }
     };
-    io::part(&seat.hub, stream, enough).await;
+    io::lingering_close(&admitted.hub, stream, enough).await;
 }
 
 /// Carries a conversation: what is to be asked goes to routing, its answers and the bytes of both directions
 /// come and go, none waiting for another.
-async fn converse(seat: &Seat, stream: &Async<TcpStream>, talk: &RefCell<Conversation>) -> Over {
-    let (hub, slot) = (&seat.hub, &seat.slot);
+async fn converse(admitted: &Admitted, stream: &Async<TcpStream>, talk: &RefCell<Conversation>) -> Over {
+    let (hub, slot) = (&admitted.hub, &admitted.slot);
     let (takes, whole) = (Duration::from_nanos(CLIENT_TAKES.0), Duration::from_nanos(CLIENT_WHOLE.0));
     let quiet = Duration::from_nanos(CLIENT_QUIET.0);
     let mut stuck = None; // since when the answer that is being written has its client's time
     loop {
-        let more = seat.pass_on(&mut talk.borrow_mut());
-        seat.show(&talk.borrow());
+        let more = admitted.pass_on(&mut talk.borrow_mut());
+        admitted.show(&talk.borrow());
         let (now, mut due) = (Instant::now(), None);
         let mut wait_until = |at: Instant| due = Some(due.map_or(at, |due: Instant| due.min(at)));
         let (resting, speaks) = (talk.borrow().resting(), talk.borrow().speaks());
@@ -365,7 +367,7 @@
         // A client has its time for its first request, and for each message.
         let unasked = resting && !talk.borrow().used() && !talk.borrow().ending();
         let begun = talk.borrow().begun().map(|at| hub.clock.instant(at));
-        let late = begun.into_iter().chain(unasked.then_some(seat.came)).map(|since| since + whole).min();
+        let late = begun.into_iter().chain(unasked.then_some(admitted.came)).map(|since| since + whole).min();
         match late {
             Some(late) if now >= late => {
                 talk.borrow_mut().late();
@@ -377,18 +379,18 @@
         // The router stops: what has come by now is taken, and the rest of what has begun; one that has only
         // just come may still ask.
         if hub.closing.get() {
-            let grace = (unasked && begun.is_none()).then_some(seat.came + quiet).filter(|at| now < *at);
+            let grace = (unasked && begun.is_none()).then_some(admitted.came + quiet).filter(|at| now < *at);
             match grace {
                 Some(grace) => wait_until(grace),
                 None if !talk.borrow().called() => {
                     talk.borrow_mut().last_call(io::unread(stream));
-                    if let Err(over) = seat.look(stream, talk) {
+                    if let Err(over) = admitted.look(stream, talk) {
                         return over;
                     }
                     continue;
                 }
                 None if resting && !talk.borrow().takes() && !talk.borrow().ending() => {
-                    seat.part(&mut talk.borrow_mut());
+                    admitted.close_between_requests(&mut talk.borrow_mut());
                     continue;
                 }
                 None => {}
@@ -396,9 +398,9 @@
         }
         // It makes room for another: what has come by now is still served.
         if slot.ended.get() && resting && !talk.borrow().ending() {
-            match seat.look(stream, talk) {
+            match admitted.look(stream, talk) {
                 Err(over) => return over,
-                Ok(0) => seat.part(&mut talk.borrow_mut()),
+                Ok(0) => admitted.close_between_requests(&mut talk.borrow_mut()),
                 Ok(_) => {}
             }
             continue;
@@ -423,12 +425,12 @@
             if !speaks {
                 return future::pending().await;
             }
-            if seat.write(stream, talk).await.map_err(|_| Over::Gone)? {
+            if admitted.write(stream, talk).await.map_err(|_| Over::Gone)? {
                 stuck = None;
             }
             Ok(())
         };
-        let read = seat.read(stream, talk);
+        let read = admitted.read(stream, talk);
         let next: Result<(), Over> = future::or(late, future::or(write, future::or(news, read))).await;
         if let Err(over) = next {
             return over;
@@ -436,7 +438,7 @@
     }
 }
 
-impl Seat {
+impl Admitted {
     /// Hands over the answers that have come and what may be asked; whether there is more to do at once.
     fn pass_on(&self, talk: &mut Conversation) -> bool {
         for _ in 0..STEPS_AT_ONCE {
@@ -466,8 +468,8 @@
     /// Lets others see what the connection is at.
     fn show(&self, talk: &Conversation) {
         let stage = match self.slot.stage.get() {
-            Stage::Leaving(since) => Stage::Leaving(since),
-            _ if talk.ending() && talk.answered() => Stage::Leaving(Instant::now()),
+            Stage::Draining(since) => Stage::Draining(since),
+            _ if talk.ending() && talk.answered() => Stage::Draining(Instant::now()),
             _ if !talk.resting() => Stage::Busy,
             Stage::Idle(since) => Stage::Idle(since),
             _ if talk.used() => Stage::Idle(Instant::now()),
@@ -544,7 +546,7 @@
 
     /// Closes between two requests. No whole request has been read that is not answered, and none will be:
     /// for a client that asks meanwhile, that is a proof.
-    fn part(&self, talk: &mut Conversation) {
+    fn close_between_requests(&self, talk: &mut Conversation) {
         match self.hub.clients.farewell.get() {
             true => talk.farewell(),
             false => talk.end(),
@@ -552,13 +554,14 @@
     }
 }
 
-/// Tells a client that there is no descriptor for it. Without a door it is told what fits, and that is all.
-pub async fn turn_away(hub: Rc<Hub>, stream: Async<TcpStream>, door: Option<Permit>) {
-    hub.clients.turned_away.set(hub.clients.turned_away.get() + 1);
+/// Tells a client that there is no descriptor for it. Without a rejection slot it is told
+/// what fits, and that is all.
+pub async fn reject(hub: Rc<Hub>, stream: Async<TcpStream>, rejection_slot: Option<Permit>) {
+    hub.clients.rejected.set(hub.clients.rejected.get() + 1);
     let _ = stream.get_ref().set_nodelay(true);
     let words = client::fatal("53300", "too many connections");
-    if door.is_some() && io::write(&stream, &[&words]).await.is_ok() {
-        return io::part(&hub, &stream, future::pending()).await;
+    if rejection_slot.is_some() && io::write(&stream, &[&words]).await.is_ok() {
+        return io::lingering_close(&hub, &stream, future::pending()).await;
     }
     // What has come is read, or closing would reset the connection before the client has read its answer.
     let _ = io::read_now(&hub, &stream, |_| {});
--- a/crates/router/src/transport/conversation.rs
+++ b/crates/router/src/transport/conversation.rs
@@ -212,7 +212,7 @@
             match self.side.take() {
                 Ok(None) => {
                     let (code, message) = self.cut?;
-                    self.dismiss(code, message);
+                    self.close_with_error(code, message);
                     return Some(Step::Done);
                 }
                 Ok(Some((message, came))) => {
@@ -221,7 +221,7 @@
                     }
                 }
                 Err(e) => {
-                    self.dismiss("08P01", &e.to_string());
+                    self.close_with_error("08P01", &e.to_string());
                     return Some(Step::Done);
                 }
             }
@@ -292,7 +292,7 @@
     fn faulty(&mut self) {
         self.faults += 1;
         if self.faults >= CLIENT_FAULTS && self.dismissed.is_none() {
-            self.dismiss("08P01", "too many commands that are not served");
+            self.close_with_error("08P01", "too many commands that are not served");
         }
     }
 
@@ -394,7 +394,7 @@
 
     /// Says that the connection ends, behind the answers of all that was taken. What stands behind that is
     /// dropped and was never sent on: a client that ends its connection by its faults is told so by the end.
-    pub fn dismiss(&mut self, code: &str, message: &str) {
+    pub fn close_with_error(&mut self, code: &str, message: &str) {
         self.dismissed = Some(message.to_string());
         self.next = None;
         self.reply(client::fatal(code, message));
--- a/crates/router/src/transport/exchange.rs
+++ b/crates/router/src/transport/exchange.rs
@@ -1,7 +1,7 @@
 //! One query at one host: on a pooled connection, or on a new one. Nothing is sent twice.
 
-use super::budget::{Permit, LOOK_AGAIN};
 use super::pool::{HostConnection, Taken};
+use super::semaphore::{Permit, LOOK_AGAIN};
 use super::{io, Hub};
 use crate::protocol::host::{self, Ending, HostMessage, HostSide, Telling};
 use crate::routing::{Ended, Input, Order, Query};
@@ -58,9 +58,9 @@
     own || hub.router.borrow_mut().spends(hub.clock.now(), Budget::Connects)
 }
 
-/// A connection that its host has welcomed. A want of this router's own, descriptors first, passes as exchanges
-/// end: it is waited out within the time for a connection. What is still wanting then is no failure of the
-/// host's, or the decisions would take a sound one out of service.
+/// A connection that its host has welcomed. A want of this router's own, descriptors first, passes as
+/// exchanges end: it is waited out within the time for a connection. What is still wanting then is no failure
+/// of the host's, or the decisions would take a sound one out of service.
 async fn connect(hub: &Rc<Hub>, addr: SocketAddr) -> Result<HostConnection, Ended> {
     let wanting = Cell::new(true);
     let up = async {
--- a/crates/router/src/transport/exchange/tests.rs
+++ b/crates/router/src/transport/exchange/tests.rs
@@ -35,7 +35,7 @@
     let mut side = HostSide::default();
     side.feed(b"R\0\0\0\x08\0\0\0\0Z\0\0\0\x05I");
     assert_eq!(side.take(), Ok(Some(HostMessage::Ready)));
-    let permit = hub.budget.take().expect("a descriptor");
+    let permit = hub.descriptors.take().expect("a descriptor");
     hub.pool.put(addr, HostConnection { stream: Async::new(stream)?, side, _permit: permit });
     let query = Query::Own("SELECT 1");
     let order = Order { id, member: MemberId(0), client: None, addr, query };
@@ -72,7 +72,7 @@
     let config = parse(CONFIG.as_bytes(), |_| None, Reading::Start).expect("a sound example");
     let executor = Rc::new(LocalExecutor::new());
     let hub = Hub::new(&config, None, &executor);
-    let mut taken: Vec<_> = std::iter::from_fn(|| hub.budget.take()).collect();
+    let mut taken: Vec<_> = std::iter::from_fn(|| hub.descriptors.take()).collect();
     let far = std::thread::spawn(move || {
         let mut far = host.accept()?.0;
         let mut bytes = [0; 64];
--- a/crates/router/src/transport/io.rs
+++ b/crates/router/src/transport/io.rs
@@ -1,6 +1,6 @@
 //! Reading into a state machine and writing gathered parts, with the count of what went out.
 
-use super::budget::LOOK_AGAIN;
+use super::semaphore::LOOK_AGAIN;
 use super::Hub;
 use async_io::{Async, Timer};
 use futures_lite::future;
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 /// A client that has been told that its connection ends has this long to close its side.
-const PART_WITHIN: Duration = Duration::from_millis(500);
+const LINGER_WITHIN: Duration = Duration::from_millis(500);
 
 /// Whether a call failed for want of something of this machine's own, which passes: the peer has no part in
 /// it, and a connection that it was made on is as sound as before.
@@ -132,7 +132,7 @@
 
 /// Ends a connection so that what was written last arrives: with bytes unread, closing would reset it.
 /// `enough` ends the wait for the other side's closing early.
-pub async fn part(hub: &Hub, stream: &Async<TcpStream>, enough: impl Future<Output = ()>) {
+pub async fn lingering_close(hub: &Hub, stream: &Async<TcpStream>, enough: impl Future<Output = ()>) {
     let _ = stream.get_ref().shutdown(Shutdown::Write);
     let rest = async {
         while matches!(read(hub, stream, |_| {}).await, Ok(1..)) {
@@ -140,7 +140,7 @@
         }
     };
     let late = async {
-        Timer::after(PART_WITHIN).await;
+        Timer::after(LINGER_WITHIN).await;
     };
     future::or(rest, future::or(late, enough)).await;
 }
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -2,7 +2,6 @@
 //! carries out what routing says and tells it what happened.
 
 mod backoff;
-mod budget;
 mod client;
 mod conversation;
 mod disk;
@@ -10,6 +9,7 @@
 mod fleet;
 mod io;
 mod pool;
+mod semaphore;
 mod signal;
 mod watch;
 
@@ -23,11 +23,11 @@
 };
 use basalthill_policy::api::Time;
 use basalthill_session::Counts;
-use budget::{Budget, Permit};
-use client::{Clients, Room};
+use client::{Clients, Eviction};
 use fleet::Link;
 use futures_lite::{future, Stream, StreamExt};
 use pool::Pool;
+use semaphore::{Permit, Semaphore};
 use serde::Deserialize;
 use signal::Signal;
 use std::cell::{Cell, RefCell};
@@ -91,7 +91,7 @@
     clients: Clients,
     exchanges: RefCell<BTreeMap<ExchangeId, Task<()>>>,
     pool: Pool,
-    budget: Budget,
+    descriptors: Semaphore,
     scratch: RefCell<Vec<u8>>,
     following: Following,
     /// The link to other routers, where there is one.
@@ -125,7 +125,7 @@
             clients: Clients::new(config),
             exchanges: RefCell::default(),
             pool: Pool::new(Duration::from_nanos(ANSWER_REST.0), idle),
-            budget: Budget::new(config.limits.descriptors()),
+            descriptors: Semaphore::new(config.limits.descriptors()),
             scratch: RefCell::new(vec![0; READ_AT_ONCE]),
             following: Following::new(config.discovery),
             link: RefCell::default(),
@@ -210,15 +210,15 @@
     /// A descriptor from the budget. When it is spent, the connection to a host that has idled longest makes
     /// room, or else a client.
     async fn permit(&self) -> Option<Permit> {
-        if let Some(permit) = self.budget.take() {
+        if let Some(permit) = self.descriptors.take() {
             return Some(permit);
         }
         self.pool.close_oldest();
-        if let Some(permit) = self.budget.take() {
+        if let Some(permit) = self.descriptors.take() {
             return Some(permit);
         }
-        self.clients.make_room(Room::Soon).await;
-        self.budget.take()
+        self.clients.evict(Eviction::Soon).await;
+        self.descriptors.take()
     }
 }
 
@@ -391,7 +391,7 @@
         match future::or(stop, next).await {
             Some(Ok((stream, _))) => {
                 count += 1;
-                admit(&hub, ClientId(count), stream, client::SEAT_TRIES).await;
+                admit(&hub, ClientId(count), stream, client::ADMISSION_TRIES).await;
             }
             // One that has gone before it was accepted, or a call that was interrupted.
             Some(Err(e)) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
@@ -427,26 +427,26 @@
 /// beside accepting: those behind them don't wait unread.
 async fn admit(hub: &Rc<Hub>, id: ClientId, stream: Async<TcpStream>, tries: u32) {
     let came = Instant::now();
-    let mut permits = hub.clients.seat(hub, 1).await;
-    let mut door = None;
+    let mut permits = hub.clients.admission(hub, 1).await;
+    let mut rejection_slot = None;
     if permits.is_none() {
-        door = hub.clients.doors.take();
-        if door.is_none() {
-            permits = hub.clients.seat(hub, tries).await;
+        rejection_slot = hub.clients.rejection_slots.take();
+        if rejection_slot.is_none() {
+            permits = hub.clients.admission(hub, tries).await;
         }
     }
     let (hub, spawner) = (Rc::clone(hub), Rc::clone(hub));
     let task = spawner.spawn(async move {
-        if permits.is_none() && door.is_some() {
-            permits = hub.clients.seat(&hub, tries).await;
+        if permits.is_none() && rejection_slot.is_some() {
+            permits = hub.clients.admission(&hub, tries).await;
         }
         match permits {
             Some(permits) => {
-                drop(door);
+                drop(rejection_slot);
                 client::run(hub, id, stream, permits, came).await;
             }
             // A few are turned away gently at a time, or they would hold more descriptors than there are.
-            None => client::turn_away(hub, stream, door).await,
+            None => client::reject(hub, stream, rejection_slot).await,
         }
     });
     task.into_iter().for_each(Task::detach);
@@ -501,7 +501,7 @@
             let tally = hub.router.borrow_mut().tally();
             tell_sessions(&hub);
             if tally != Tally::default() {
-                let (clients, idle, left) = (hub.clients.count(), hub.pool.len(), hub.budget.left());
+                let (clients, idle, left) = (hub.clients.count(), hub.pool.len(), hub.descriptors.left());
                 let open = hub.exchanges.borrow().len();
                 log::info!(
                     "{tally}; {clients} clients, {open} exchanges, {idle} idle, {left} descriptors left"
--- a/crates/router/src/transport/pool.rs
+++ b/crates/router/src/transport/pool.rs
@@ -1,7 +1,7 @@
 //! Idle connections to hosts. A connection is either here or with the one exchange that uses it.
 
-use super::budget::Permit;
 use super::io;
+use super::semaphore::Permit;
 use crate::protocol::host::HostSide;
 use async_io::Async;
 use std::cell::RefCell;
--- a/crates/router/src/transport/pool/tests.rs
+++ b/crates/router/src/transport/pool/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::transport::budget::Budget;
+use crate::transport::semaphore::Semaphore;
 use std::io::Write;
 use std::net::TcpListener;
 
@@ -7,7 +7,7 @@
 fn a_connection_rests_and_one_that_has_brought_more_is_never_used_again() -> std::io::Result<()> {
     let host = TcpListener::bind(("127.0.0.1", 0))?;
     let addr = host.local_addr()?;
-    let budget = Budget::new(9);
+    let budget = Semaphore::new(9);
     let connected = || -> std::io::Result<(HostConnection, TcpStream)> {
         let (near, far) = (TcpStream::connect(addr)?, host.accept()?.0);
         let permit = budget.take().expect("a descriptor");
@@ -34,7 +34,7 @@
 #[test]
 fn connections_that_have_idled_since_before_a_moment_are_closed() -> std::io::Result<()> {
     let host = TcpListener::bind(("127.0.0.1", 0))?;
-    let (addr, budget) = (host.local_addr()?, Budget::new(9));
+    let (addr, budget) = (host.local_addr()?, Semaphore::new(9));
     let pool = Pool::new(Duration::ZERO, Duration::from_secs(86_400));
     let mut far = Vec::new();
     let mut idles = || -> std::io::Result<()> {
--- a/crates/router/src/transport/budget.rs
+++ b/crates/router/src/transport/semaphore.rs
@@ -1,4 +1,4 @@
-//! What there is only so much of: descriptors, places for large statements.
+//! Semaphores: what there is only so much of, descriptors and places for large statements.
 
 use async_io::Timer;
 use std::cell::Cell;
@@ -9,15 +9,15 @@
 pub const LOOK_AGAIN: Duration = Duration::from_millis(5);
 
 /// What may still be taken.
-pub struct Budget(Rc<Cell<usize>>);
+pub struct Semaphore(Rc<Cell<usize>>);
 
 /// One that was taken; given back when dropped.
 pub struct Permit(Rc<Cell<usize>>);
 
-impl Budget {
+impl Semaphore {
     /// So many in all.
-    pub fn new(sockets: usize) -> Budget {
-        Budget(Rc::new(Cell::new(sockets)))
+    pub fn new(sockets: usize) -> Semaphore {
+        Semaphore(Rc::new(Cell::new(sockets)))
     }
 
     /// How many are left.
--- a/crates/router/tests/stop_soak.rs
+++ b/crates/router/tests/stop_soak.rs
@@ -1,6 +1,7 @@
 //! A stop under clients that use their connections up to the kill: signals in series, hosts that hang, some
-//! plays with a crowd of idle clients, some with calls to the system that fail for a moment. What the protocol page says is the oracle: a request is answered whole
-//! and in its time, or its connection is closed without it and no host has had it.
+//! plays with a crowd of idle clients, some with calls to the system that fail for a moment.
+//! What the protocol page says is the oracle: a request is answered whole and in its time, or its connection
+//! is closed without it and no host has had it.
 //!
 //! SOAK_SEEDS sets how many plays there are, SOAK_FIRST with which seed they begin.
 
@@ -175,8 +176,7 @@
     let (first, count): (u64, u64) = (number("SOAK_FIRST", 1), number("SOAK_SEEDS", AT_ONCE as u64));
     let seeds: Vec<u64> = (first..first + count).collect();
     for some in seeds.chunks(AT_ONCE) {
-        let plays: Vec<_> =
-            some.iter().map(|seed| *seed).map(|s| std::thread::spawn(move || play(s))).collect();
+        let plays: Vec<_> = some.iter().copied().map(|s| std::thread::spawn(move || play(s))).collect();
         let wrong: Vec<String> = plays.into_iter().flat_map(|p| p.join().unwrap()).collect();
         assert!(wrong.is_empty(), "{}:\n{}", wrong.len(), wrong[..wrong.len().min(20)].join("\n"));
     }
