After a long outage of a shared discovery no rest is longer than 3 s

Path: where lists are asked for, rests doubled to 8 s, drawn up to 12 s, whatever the calls had failed of.

Change: only a discovery that is there and does not get to its calls (429, 5xx, a call ended without a word) is left alone for so long. One that nobody reaches is called after 2 s, drawn up to 3 s; a call that is given up takes 2.25 s.

What stays: hundreds of routers that all lose their list at once, where discovery needs eight seconds for one call of each.

--- a/crates/router/src/transport/backoff.rs
+++ b/crates/router/src/transport/backoff.rs
@@ -12,6 +12,18 @@
 /// more often by routers that it turns away, it would be busy with calls that are too late by the time they
 /// have their turn, and no router would ever get a list.
 const MOST_IN_TURN: Duration = Duration::from_millis(8000);
+/// One that is away and comes back has 6 s for what it has to tell, too, after however long an outage: a call
+/// that is given up (2.25 s), and the longest drawn rest (3 s).
+const MOST_AWAY: Duration = Duration::from_millis(2000);
+
+/// What became of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Nobody answered: discovery is away.
+    Unanswered,
+    /// Discovery is there, and did not get to it.
+    TurnedAway,
+}
 
 /// Rests that double, up to a limit, until a call brings something.
 #[derive(Debug)]
@@ -39,10 +51,11 @@
         self.rest = FIRST / 2;
     }
 
-    /// The next rest.
-    pub fn next(&mut self) -> Duration {
-        let rest = self.rest;
-        self.rest = (rest * 2).min(self.most);
+    /// The next rest, after what became of the last call.
+    pub fn next(&mut self, call: Call) -> Duration {
+        let most = if call == Call::TurnedAway { self.most } else { self.most.min(MOST_AWAY) };
+        let rest = self.rest.min(most);
+        self.rest = (rest * 2).min(most);
         match &mut self.random {
             Some(random) => rest.mul_f64(0.5 + random.f64()),
             None => rest,
--- a/crates/router/src/transport/backoff/tests.rs
+++ b/crates/router/src/transport/backoff/tests.rs
@@ -2,14 +2,14 @@
 use std::collections::VecDeque;
 
 fn rests(mut backoff: Backoff, count: usize) -> Vec<u64> {
-    (0..count).map(|_| backoff.next().as_millis() as u64).collect()
+    (0..count).map(|_| backoff.next(Call::TurnedAway).as_millis() as u64).collect()
 }
 
 #[test]
 fn rests_double_up_to_their_limit_and_begin_anew_after_success() {
     assert_eq!(rests(Backoff::steady(), 5), [100, 200, 400, 500, 500]);
     let mut backoff = Backoff::steady();
-    backoff.next();
+    backoff.next(Call::Unanswered);
     backoff.reset();
     assert_eq!(rests(backoff, 3), [50, 100, 200]);
 }
@@ -28,7 +28,7 @@
                 if busy_until <= asked + 2000 {
                     done += 1;
                 } else {
-                    calls[n] = Some(asked + 2000 + backoffs[n].next().as_millis() as u64);
+                    calls[n] = Some(asked + 2000 + backoffs[n].next(Call::TurnedAway).as_millis() as u64);
                 }
             }
         }
@@ -36,7 +36,7 @@
             if calls[n].is_some_and(|at| at <= now) {
                 let ahead = queue.len() as u64 * each_ms + busy_until.saturating_sub(now);
                 if ahead >= 2000 {
-                    calls[n] = Some(now + backoffs[n].next().as_millis() as u64);
+                    calls[n] = Some(now + backoffs[n].next(Call::TurnedAway).as_millis() as u64);
                 } else {
                     calls[n] = None;
                     queue.push_back((n, now));
@@ -54,3 +54,13 @@
         assert_eq!(served(routers, each, 30_000), routers as usize, "{routers} routers");
     }
 }
+
+/// Rule: told 6 s after discovery can be reached again; a call that is given up takes 2.25 s of it.
+#[test]
+fn after_a_long_outage_no_rest_is_longer_than_what_the_rule_leaves() {
+    for watch in 0..50 {
+        let mut backoff = Backoff::drawn(40, watch);
+        let longest = (0..30).map(|_| backoff.next(Call::Unanswered)).max();
+        assert!(longest <= Some(Duration::from_millis(6000 - 2250)), "watch {watch}: {longest:?}");
+    }
+}
--- a/crates/router/src/transport/watch.rs
+++ b/crates/router/src/transport/watch.rs
@@ -1,7 +1,7 @@
 //! Discovery's watch: kept open, and opened again when it ends or falls silent. Each address has a watch of
 //! its own, with its versions: those of another discovery may not compare.
 
-use super::backoff::Backoff;
+use super::backoff::{Backoff, Call};
 use super::signal::Signal;
 use super::{io, Hub};
 use crate::protocol::discovery::{watch_request, WatchMessage, WatchSide};
@@ -89,6 +89,8 @@
 enum End {
     /// The connection, or the protocol on it, has failed.
     Failed(String),
+    /// Discovery is there and does not get to the call: it says so, or ends it after a while without a word.
+    TurnedAway(String),
     /// What came could not be read: the whole list is asked for next.
     Unreadable(String),
 }
@@ -107,8 +109,12 @@
     let mut heard = hub.clock.now();
     loop {
         let mut told = false;
-        match follow(&hub, number, addr, &mut version, &mut heard, &mut told).await {
-            End::Failed(error) => log::warn!("discovery: {error}; the watch is opened again, the list kept"),
+        let end = follow(&hub, number, addr, &mut version, &mut heard, &mut told).await;
+        let call = if matches!(end, End::TurnedAway(_)) { Call::TurnedAway } else { Call::Unanswered };
+        match end {
+            End::Failed(error) | End::TurnedAway(error) => {
+                log::warn!("discovery: {error}; the watch is opened again, the list kept");
+            }
             End::Unreadable(error) => {
                 log::warn!("discovery: {error}; the whole list is asked for, the old one kept");
                 version = None;
@@ -117,7 +123,7 @@
         if told {
             backoff.reset();
         }
-        Timer::after(backoff.next()).await;
+        Timer::after(backoff.next(call)).await;
     }
 }
 
@@ -163,7 +169,7 @@
             }
             Ok(None) => {}
             // What is known stays known: asked for anew, the whole list would cost discovery the more.
-            Err(e) if side.turned_away() => return End::Failed(format!("the call is turned away ({e})")),
+            Err(e) if side.turned_away() => return End::TurnedAway(format!("the call is turned away ({e})")),
             Err(e) => return End::Unreadable(e.to_string()),
         }
         if let Some(end) = over {
@@ -171,6 +177,7 @@
         }
         let read = async { Ok(io::read(hub, &stream, |bytes| side.feed(bytes)).await?) };
         match future::or(read, silent(until)).await {
+            Ok(0) if !head => return End::TurnedAway("the call has ended without an answer".into()),
             Ok(0) => {
                 // A body that ends with its connection may hold a last line.
                 side.closed();
