Decisions on cold members stand in a module of their own; names in the field's terms

Change: policy/cold.rs (warmth, credit, parts, what is asked for) is a part of Policy, moved as it was. Renamed: scout to seek_primary, lean to subset_bias and connection_cost, doubt to suspect, rest to backoff_until, FULL_REST to FULL_BACKOFF, LAG_REST to LAG_COOLDOWN, wants to notice_connection_want. No behaviour changes.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -1,26 +1,31 @@
-//! Every decision of basalthill, with every table and tuned value. The interface (settings, events, actions,
-//! ids) is `api.rs`. `docs/design.md` says what is the design's and what is a departure from it.
+//! Every decision of basalthill, with every table and tuned value; what cold members get is in
+//! `policy/cold.rs`. The interface (settings, events, actions, ids) is `api.rs`. `docs/design.md` says what is
+//! the design's and what is a departure from it.
 
 use crate::api::*;
 use std::collections::{BTreeMap, BTreeSet};
 
+mod cold;
+
+use cold::SERVED_OVER_S;
+
 // Tuned values: times, then counts and shares.
 const SWEEP: Time = Time::ms(10); // housekeeping while requests are held or members in doubt,
 const REST_SWEEP: Time = Time::ms(100); // and otherwise
 const PROBE_EVERY: Time = Time::ms(2000); // a member that no answer has refreshed for this long is probed
-const PROBE_DOUBT: Time = Time::ms(200); // and one in doubt after this
+const PROBE_SUSPECT: Time = Time::ms(200); // and one in doubt after this
 const REPORT_AGE: Time = Time::ms(150); // a probe's position is taken to be this old, its role twice that
 const LIST_AGE: Time = Time::ms(5000); // and what the list says of roles this
 const KNOWN_FRESH: Time = Time::ms(100); // an older position is asked for again before it fails a read
 const MARGIN: Time = Time::ms(1000); // behind by more than this (or the widest bound) ejects
-const LAG_REST: Time = Time::ms(500); // cooldown of an ejection for lag,
+const LAG_COOLDOWN: Time = Time::ms(500); // cooldown of an ejection for lag,
 const COOLDOWN: Time = Time::ms(1000); // for transport failures or silence
 const SILENT_LEAST: Time = Time::ms(250); // no attempt is overdue before this
-const FULL_REST: Time = Time::ms(100); // rest of a full member; a connect that fails sooner was refused
+const FULL_BACKOFF: Time = Time::ms(100); // rest of a full member; a connect that fails sooner was refused
 const WANT_WITHIN: Time = Time::ms(1000); // one heard so soon after refusing a connect is up, and full:
 const SHORT_FOR: Time = Time::ms(10_000); // idle connections are closed for this long
 const PARTED: Time = Time::ms(30_000); // so long after its parting was told, nothing of a member is looked at
-const SCOUT_EVERY: Time = Time::ms(40); // pace of the search for a primary
+const SEEK_EVERY: Time = Time::ms(40); // pace of the search for a primary
 const START_HOLD: Time = Time::ms(250); // a started router holds requests for its list and probes no longer
 
 const FAILURES: u32 = 3; // transport failures running that eject
@@ -41,7 +46,7 @@
 const SILENT_TIMES: f64 = 6.0; // an attempt out for this many own times is overdue
 const REPEAT_WORTH: f64 = 0.5; // worth of a marked repeat, at least, as a share of a first try's
 const PROBE_SHARE: f64 = 0.1; // probes that a request earns its router
-const LEAN: f64 = 1.0; // of many routers, each leans on members that it holds a connection to,
+const SUBSET_BIAS: f64 = 1.0; // of many routers, each leans on members that it holds a connection to,
 const HELD_SHARE: f64 = 0.7; // which it does for about this share of the longest idle time
 const FEW_ROUTERS: f64 = 4.0; // more than these spread their searches and trials out
 const LONG_TIMES: f64 = 4.0; // an any-read past this many times the shortest class's own time is long
@@ -49,10 +54,6 @@
 const SPILL_LEAST: f64 = 0.25; // a read spills while writes are expected within this share of their aim,
 const SPILL_SPAN: f64 = 0.35; // and this much more by its worth for its work
 const LAST_PART: f64 = 0.5; // of a limit: the less a request is worth, the more of this it leaves
-const COLD_SHARE: f64 = 0.75; // part of the fall multiple used at a cold member
-const COLD_LEAST: f64 = 0.8; // work per second that it gets from all routers, if none has served anything
-const SERVED_OVER_S: f64 = 60.0; // memory of a router's own rate: long, or a jam starves the cold
-const ASKED_OVER_S: f64 = 10.0; // and of what it is asked for: short, or a rush pushes the cold over
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Why {
@@ -81,7 +82,7 @@
     role: Option<(Role, Time)>,
     breaker: Breaker,
     failures: u32,
-    doubt: bool,
+    suspect: bool,
     lost: Time,
     in_flight: u32,
     most: Option<u32>, // attempts that all routers' limit leaves to this one
@@ -90,15 +91,15 @@
     wait: (f64, Time),
     errors: (f64, Time),
     answered: Time,
-    rest: Time,
+    backoff_until: Time,
     refused: Time,
-    lean: f64,
+    subset_bias: f64,
     probe: Option<Time>,
     asked: Time,
     refreshed: Time,
     dither: f64,
     credit: (f64, Time), // work that it may still be sent while cold, and when that was counted
-    scouted: Time,
+    sought: Time,
 }
 
 impl Member {
@@ -109,8 +110,8 @@
     fn restarted(&mut self, started: Option<Time>, now: Time) {
         (self.started, self.credit) = (started, (-self.dither, now));
     }
-    fn missed(&mut self, now: Time, doubt: bool) {
-        (self.failures, self.doubt) = (self.failures + 1, self.doubt || doubt);
+    fn missed(&mut self, now: Time, suspect: bool) {
+        (self.failures, self.suspect) = (self.failures + 1, self.suspect || suspect);
         let open = matches!(self.breaker, Breaker::Open(Why::Transport, _));
         if (self.failures >= FAILURES && !open) || self.breaker == Breaker::HalfOpen(Why::Transport) {
             self.breaker = Breaker::Open(Why::Transport, now.plus(COOLDOWN));
@@ -121,7 +122,7 @@
         if self.failures >= FAILURES && self.lost > self.refreshed && self.started < Some(self.lost) {
             self.restarted(Some(self.lost), now);
         }
-        (self.failures, self.doubt, self.refreshed) = (0, false, now);
+        (self.failures, self.suspect, self.refreshed) = (0, false, now);
         let silent = proves == Why::Silent && matches!(self.breaker, Breaker::Open(Why::Silent, _));
         if silent || self.breaker == Breaker::HalfOpen(proves) {
             self.breaker = Breaker::Closed;
@@ -168,7 +169,7 @@
 /// Whether a member may be the primary as far as is known: it is up, and stays.
 fn usable(m: &Member) -> bool {
     let up = matches!(m.breaker, Breaker::Closed | Breaker::Open(Why::Lag, _) | Breaker::HalfOpen(Why::Lag));
-    !m.doubt && up && m.draining.is_none()
+    !m.suspect && up && m.draining.is_none()
 }
 
 /// A number from 0 to 1 of the seed's sequence.
@@ -270,9 +271,15 @@
         // A few routers probe a newcomer at once; many would do so all together.
         let asked = if self.few() < 1.0 { self.now } else { Time(0) };
         for e in entries {
-            let lean = dice(&mut self.random);
-            let (m, dither) = (self.members.entry(e.member), lean * shortest);
-            let m = m.or_insert_with(|| Member { cap: CAP_START, dither, lean, asked, ..Member::default() });
+            let subset_bias = dice(&mut self.random);
+            let (m, dither) = (self.members.entry(e.member), subset_bias * shortest);
+            let m = m.or_insert_with(|| Member {
+                cap: CAP_START,
+                dither,
+                subset_bias,
+                asked,
+                ..Member::default()
+            });
             (m.group, m.zone) = (e.group, e.zone);
             m.weight = if self.set.weights && e.weight > 0.0 { e.weight } else { 1.0 };
             if e.started > m.started {
@@ -334,7 +341,7 @@
         let behind = !is_primary && high.since(p) > self.margin;
         let Some(m) = self.members.get_mut(&id) else { return };
         if behind && !matches!(m.breaker, Breaker::Open(..)) {
-            m.breaker = Breaker::Open(Why::Lag, now.plus(LAG_REST));
+            m.breaker = Breaker::Open(Why::Lag, now.plus(LAG_COOLDOWN));
         } else if !behind && matches!(m.breaker, Breaker::HalfOpen(Why::Lag)) {
             m.breaker = Breaker::Closed;
         }
@@ -348,10 +355,10 @@
     /// What a connection that is not there weighs. A router that meets a group seldom would open, and let
     /// lapse, one to each member: of many routers each keeps to a part of the group, drawn by itself so that
     /// the parts cover it evenly, and goes beyond when more are in flight or answers come late there.
-    fn lean(&self, m: &Member) -> f64 {
+    fn connection_cost(&self, m: &Member) -> f64 {
         let held = self.now.since(m.answered) < self.set.conn_idle.times(HELD_SHARE);
         let weight = if held { 0.0 } else { 1.0 - self.few() };
-        weight * (LEAN + m.lean)
+        weight * (SUBSET_BIAS + m.subset_bias)
     }
 
     /// Part of what one of a few routers would do alone, so that all together do no more.
@@ -380,13 +387,6 @@
         self.primary(group).filter(|id| self.members.get(id).is_some_and(usable))
     }
 
-    /// Share of its full capacity that a member has at least, by the rules' slowest warm-up.
-    fn warmth(&self, m: &Member) -> f64 {
-        let Some(started) = m.started else { return 1.0 };
-        let part = self.now.since(started).secs() / self.set.warm_within.secs().max(1e-9);
-        (self.set.cold_from + (1.0 - self.set.cold_from) * part).min(1.0)
-    }
-
     /// Seconds beyond their class's own time that answers take there: as shown of late, then its role's.
     fn wait(&self, m: &Member) -> f64 {
         let known = self.faded((1.0, m.wait.1), WAIT_FADE_S);
@@ -400,7 +400,7 @@
 
     /// Whether a member is below this share of its cap.
     fn room(&self, m: &Member, share: f64) -> bool {
-        m.rest <= self.now && f64::from(m.in_flight) < (m.cap * share).max(1.0)
+        m.backoff_until <= self.now && f64::from(m.in_flight) < (m.cap * share).max(1.0)
     }
 
     /// Whether this request's answer is expected too late there.
@@ -449,51 +449,6 @@
         class.effect == Effect::Keyed && left.secs() > self.base[job.c]
     }
 
-    /// The part of what it is asked for in a cold member's group that one of many routers sends there: one
-    /// that meets a group every few seconds can't save up. Parts add up as rates do. The group is taken to
-    /// ask for as much as others, or more if it does so here, and all of it to come to this member.
-    fn cold_part(&self, job: &Job, id: MemberId, m: &Member) -> f64 {
-        let needs = needs(&self.set.classes[job.c]);
-        if needs == 0 && Some(id) == self.primary(m.group) {
-            return 0.0;
-        }
-        // Without a primary, replicas are sent what looks for one beside their reads: one part of both.
-        let leaderless = self.leader(m.group).is_none();
-        let rate = |a: &[(f64, Time); 2], over_s: f64| {
-            let kinds = a.iter().enumerate().filter(|(kind, _)| leaderless || *kind == needs);
-            kinds.map(|(_, asked)| self.faded(*asked, over_s)).sum::<f64>() / self.over(over_s)
-        };
-        let there = self.wanted.get(&m.group).map_or(0.0, |a| rate(a, ASKED_OVER_S));
-        // A rush, or the end of a quiet time, is seen within the time in which it could push the member over.
-        let all = rate(&self.wanted_all, ASKED_OVER_S).max(rate(&self.wanted_now, self.set.fall.secs()));
-        let asked = there.max(all / self.groups.len().max(1) as f64);
-        let part = COLD_SHARE * self.set.fall_multiple * self.warmth(m) * self.own(m) / asked.max(1e-9);
-        part * (1.0 - self.few())
-    }
-
-    /// The time that a figure which fades has been gathered over.
-    fn over(&self, over_s: f64) -> f64 {
-        let age = self.now.since(self.begun.unwrap_or(self.now)).secs().max(1.0);
-        over_s * (1.0 - (-age / over_s).exp())
-    }
-
-    /// This router's mean rate at a member of this weight.
-    fn own(&self, m: &Member) -> f64 {
-        self.faded(self.served, SERVED_OVER_S) / self.over(SERVED_OVER_S) * m.weight / self.weight
-    }
-
-    /// Work a second for a cold member, by its least warmth and this router's rate at members: rates add up.
-    fn cold_rate(&self, m: &Member) -> f64 {
-        let least = COLD_LEAST / f64::from(self.set.routers).max(FEW_ROUTERS);
-        (self.own(m) * self.few() * COLD_SHARE * self.set.fall_multiple * self.warmth(m)).max(least)
-    }
-
-    /// What a cold member may be sent by now; each router begins at another point of its first wait.
-    fn credit(&self, m: &Member) -> f64 {
-        let (rate, since) = (self.cold_rate(m), self.now.since(m.credit.1).secs());
-        (m.credit.0 + rate * since).min(m.dither.max(rate * self.set.fall.secs()))
-    }
-
     /// Ends a request that has no attempt out: refused where that is harmless, else failed.
     fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id).filter(|j| j.out() == 0) else { return };
@@ -588,8 +543,9 @@
             // One that fails fast looks least loaded: its share of failures weighs against it.
             let sound = (1.0 - self.faded(m.errors, ERROR_FADE_S)).max(0.1);
             let slow = (1.0 + self.wait(m) / own).max(0.5) / (sound * sound);
-            let lean = self.lean(m);
-            let mut cost = (f64::from(m.in_flight) + 0.5 + noise + lean) * slow / (m.weight * self.warmth(m));
+            let connection = self.connection_cost(m);
+            let mut cost =
+                (f64::from(m.in_flight) + 0.5 + noise + connection) * slow / (m.weight * self.warmth(m));
             cost *= if m.zone == self.set.zone { 1.0 } else { 1.0 + ZONE_TIMES * self.set.price_cross_zone };
             cost *= if m.breaker == Breaker::Closed { 1.0 } else { 0.5 }; // what is behind serves any-reads
             let far = if lag > MARGIN.secs() { lag } else { 0.0 };
@@ -611,8 +567,8 @@
         let refuses = self.set.when_behind == WhenBehind::Refuses;
         let fits = self.in_group(job.req.group).filter(|(id, m)| {
             let aged = m.position.is_none_or(|(_, at)| self.now.since(at).times(self.few()) > KNOWN_FRESH);
-            let well = !m.doubt && matches!(m.breaker, Breaker::Closed | Breaker::HalfOpen(Why::Lag));
-            let idle = m.in_flight == 0 && m.draining.is_none() && m.rest <= self.now;
+            let well = !m.suspect && matches!(m.breaker, Breaker::Closed | Breaker::HalfOpen(Why::Lag));
+            let idle = m.in_flight == 0 && m.draining.is_none() && m.backoff_until <= self.now;
             refuses && Some(*id) != primary && aged && well && idle && self.legal(job, *id)
         });
         fits.max_by_key(|(_, m)| self.estimate(m)).map(|f| f.0)
@@ -622,7 +578,7 @@
     fn primary_takes(&self, job: &Job, id: MemberId) -> bool {
         let Some(m) = self.members.get(&id) else { return false };
         let closed = match m.breaker {
-            Breaker::Closed => !m.doubt,
+            Breaker::Closed => !m.suspect,
             Breaker::Open(why, _) => why == Why::Lag,
             Breaker::HalfOpen(why) => why == Why::Lag || (why == Why::Silent && m.in_flight == 0),
         };
@@ -689,19 +645,6 @@
         votes.iter().max_by_key(|v| v.1).map_or(Time(0), |v| v.0.since(left))
     }
 
-    /// Counts work that is asked for.
-    fn ask(&mut self, group: GroupId, needs: usize, work: f64) {
-        if self.groups.contains_key(&group) {
-            let before = self.wanted.get(&group).map_or((0.0, self.now), |a| a[needs]);
-            let (there, all) =
-                (self.faded(before, ASKED_OVER_S), self.faded(self.wanted_all[needs], ASKED_OVER_S));
-            self.wanted.entry(group).or_default()[needs] = (there + work, self.now);
-            self.wanted_all[needs] = (all + work, self.now);
-            let recent = self.faded(self.wanted_now[needs], self.set.fall.secs());
-            self.wanted_now[needs] = (recent + work, self.now);
-        }
-    }
-
     /// Sends a request on, holds it, or gives it up.
     fn place(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
         let Some(job) = self.jobs.remove(&id) else { return true };
@@ -789,12 +732,12 @@
         }
         self.judge(&o, class, sent, out);
         if let Some(m) = self.members.get_mut(&o.member) {
-            let refused = o.status == Status::ConnectFailed && o.took < FULL_REST;
+            let refused = o.status == Status::ConnectFailed && o.took < FULL_BACKOFF;
             m.refused = if refused { now } else { m.refused };
             let idle = m.in_flight == 0 && self.short > Time(0) && now.since(self.short) < SHORT_FOR;
             out.extend(idle.then_some(Action::CloseIdle(o.member)));
             if matches!(o.status, Status::Ok | Status::Miss) {
-                self.wants(o.member, out);
+                self.notice_connection_want(o.member, out);
             }
         }
         if o.ended {
@@ -808,7 +751,7 @@
     }
 
     /// One that answers right after it refused a connect is full, not dead or cut off: idle ones close.
-    fn wants(&mut self, id: MemberId, out: &mut Vec<Action>) {
+    fn notice_connection_want(&mut self, id: MemberId, out: &mut Vec<Action>) {
         let Some(m) = self.members.get_mut(&id) else { return };
         let refused = std::mem::take(&mut m.refused);
         if refused > Time(0) && self.now.since(refused) < WANT_WITHIN {
@@ -842,9 +785,10 @@
             m.errors = (errors + ERROR_GAIN * (bad - errors), now);
         }
         match (o.status, class) {
-            (Status::ConnectFailed, _) => m.rest = now.plus(FULL_REST),
+            (Status::ConnectFailed, _) => m.backoff_until = now.plus(FULL_BACKOFF),
             (Status::Full, _) => {
-                (m.rest, m.cap) = (now.plus(FULL_REST), (f64::from(m.in_flight) * CAP_CUT).max(1.0));
+                (m.backoff_until, m.cap) =
+                    (now.plus(FULL_BACKOFF), (f64::from(m.in_flight) * CAP_CUT).max(1.0));
             }
             (Status::Miss, _) if write && m.role.is_none_or(|(_, at)| at < now) => {
                 m.role = Some((Role::Replica, now));
@@ -868,7 +812,7 @@
             }
             _ => {}
         }
-        if m.doubt && !matches!(m.breaker, Breaker::Open(Why::Transport, _)) {
+        if m.suspect && !matches!(m.breaker, Breaker::Open(Why::Transport, _)) {
             self.probe(o.member, out);
         }
     }
@@ -882,7 +826,7 @@
             let aged = |times| now.minus(REPORT_AGE.times(times));
             self.learn(id, Standing { position: None, ..report }, aged(2.0));
             self.learn(id, Standing { role: None, ..report }, aged(1.0));
-            self.wants(id, out);
+            self.notice_connection_want(id, out);
         } else if !matches!(status, Status::Error | Status::Moot) && now.since(m.answered) >= SILENT_LEAST {
             m.lost = now;
             m.missed(now, true);
@@ -922,15 +866,15 @@
         // Those in doubt come first, then the one that has gone unheard for longest.
         let decides = |why| why == Why::Transport || (why == Why::Lag && self.set.probe_positions);
         // Many leave one that lags to what it answers: a probe of each would find it behind again and again.
-        let lag = PROBE_DOUBT.times(1.0 / self.few());
-        let pace = |why| if why == Why::Lag { lag } else { PROBE_DOUBT };
+        let lag = PROBE_SUSPECT.times(1.0 / self.few());
+        let pace = |why| if why == Why::Lag { lag } else { PROBE_SUSPECT };
         let (mut ask, mut oldest) = (Vec::new(), None);
         for (id, m) in &mut self.members {
             let unheard = now.since(m.refreshed.max(m.asked));
             match m.breaker {
                 Breaker::Open(why, until) if now >= until => m.breaker = Breaker::HalfOpen(why),
                 Breaker::HalfOpen(why) if unheard >= pace(why) && decides(why) => ask.push(*id),
-                Breaker::Closed if m.doubt && unheard >= PROBE_DOUBT => ask.push(*id),
+                Breaker::Closed if m.suspect && unheard >= PROBE_SUSPECT => ask.push(*id),
                 Breaker::Closed if m.draining.is_none() => oldest = oldest.max(Some((unheard, *id))),
                 _ => {}
             }
@@ -940,15 +884,15 @@
         ask.into_iter().for_each(|id| self.probe(id, out));
         let groups: BTreeSet<GroupId> = self.held.iter().map(|h| h.0).collect();
         for group in groups {
-            self.scout(group, out);
+            self.seek_primary(group, out);
             self.pump(group, out);
         }
     }
 
     /// With no primary known, one held write at a time tries the members in turn: a miss is proved unrun.
-    fn scout(&mut self, group: GroupId, out: &mut Vec<Action>) {
+    fn seek_primary(&mut self, group: GroupId, out: &mut Vec<Action>) {
         if self.leader(group).is_some()
-            || self.in_group(group).any(|(_, m)| self.now.since(m.scouted) < SCOUT_EVERY)
+            || self.in_group(group).any(|(_, m)| self.now.since(m.sought) < SEEK_EVERY)
         {
             return;
         }
@@ -958,9 +902,9 @@
         let Some((id, job)) = writes.min_by_key(|(_, j)| j.tries.len()) else { return };
         let fit = self.in_group(group).filter(|(id, m)| usable(m) && self.legal(job, *id));
         let tried = |id| job.tries.iter().any(|t| t.member == id);
-        let turn = fit.min_by_key(|(id, m)| (tried(*id), m.scouted, m.position.map(|p| u64::MAX - p.0 .0)));
+        let turn = fit.min_by_key(|(id, m)| (tried(*id), m.sought, m.position.map(|p| u64::MAX - p.0 .0)));
         let Some(member) = turn.map(|t| t.0) else { return };
-        self.members.entry(member).and_modify(|m| m.scouted = self.now);
+        self.members.entry(member).and_modify(|m| m.sought = self.now);
         self.send(id, member, out);
     }
 
