The trickle at a cold member follows its warmth, as all else that it gets

COLD_LEAST let all routers together send 0.8 of work a second to any cold member, however cold and by whatever multiple.

Change: 0.8 is the least work a second that a warm member is taken to do; what a cold one gets of it is by its warmth and the multiple, as for the rate that has been seen. The figure stays, the reason lies in coldFrom and fallMultiple.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -1,6 +1,6 @@
 //! Every decision of basalthill, with every table and tuned value; what cold members get is in
-//! `policy/cold.rs`. The interface (settings, events, actions, ids) is `api.rs`. `docs/design.md` says what is
-//! the design's and what is a departure from it.
+//! `policy/cold.rs`. The interface (settings, events, actions, ids) is `api.rs`. `docs/design.md` says what
+//! is the design's and what is a departure from it.
 
 use crate::api::*;
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/policy/src/policy/cold.rs
+++ b/crates/policy/src/policy/cold.rs
@@ -5,7 +5,7 @@
 
 // Tuned values.
 const COLD_SHARE: f64 = 0.75; // part of the fall multiple used at a cold member
-const COLD_LEAST: f64 = 0.8; // work per second that it gets from all routers, if none has served anything
+const COLD_LEAST: f64 = 0.8; // work per second that a warm member is taken to do at least
 pub(super) const SERVED_OVER_S: f64 = 60.0; // memory of a router's own rate: long, or a jam starves the cold
 const ASKED_OVER_S: f64 = 10.0; // and of what it is asked for: short, or a rush pushes the cold over
 
@@ -51,9 +51,9 @@
     }
 
     /// Work a second for a cold member, by its least warmth and this router's rate at members: rates add up.
-    pub(super) fn cold_rate(&self, m: &Member) -> f64 {
+    fn cold_rate(&self, m: &Member) -> f64 {
         let least = COLD_LEAST / f64::from(self.set.routers).max(FEW_ROUTERS);
-        (self.own(m) * self.few() * COLD_SHARE * self.set.fall_multiple * self.warmth(m)).max(least)
+        (self.own(m) * self.few()).max(least) * COLD_SHARE * self.set.fall_multiple * self.warmth(m)
     }
 
     /// What a cold member may be sent by now; each router begins at another point of its first wait.
--- a/crates/policy/tests/cold.rs
+++ b/crates/policy/tests/cold.rs
@@ -108,9 +108,20 @@
     Quiet,
     /// All have been there for a while; three times as much is asked from then on.
     Rush,
+    /// All have been there for a while; members start colder, and fall sooner, than by the usual settings.
+    Colder,
 }
 
 impl Fleet {
+    fn settings(self) -> Settings {
+        let mut set = settings();
+        set.routers = ROUTERS as u32;
+        if self == Fleet::Colder {
+            (set.cold_from, set.fall_multiple, set.fall) = (0.05, 2.0, Time::ms(1000));
+        }
+        set
+    }
+
     /// By how much the usual rate is multiplied.
     fn pace(self, ms: u64) -> f64 {
         match self {
@@ -130,8 +141,7 @@
 /// meanwhile.
 fn play(seed: u64, fleet: Fleet) -> (Vec<Time>, f64) {
     let mut dice = Dice(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
-    let mut set = settings();
-    set.routers = ROUTERS as u32;
+    let set = fleet.settings();
     // Some get several times the mean, most less than it.
     let parts: Vec<f64> = (0..ROUTERS).map(|_| -dice.roll().max(1e-9).ln()).collect();
     let all: f64 = parts.iter().sum();
@@ -238,7 +248,7 @@
 }
 
 fn hold(fleet: Fleet) {
-    let set = settings();
+    let set = fleet.settings();
     let mut sent = 0;
     let mut over = Vec::new();
     for seed in 1..=100 {
@@ -282,3 +292,8 @@
 fn a_rush_spares_a_cold_member() {
     hold(Fleet::Rush);
 }
+
+#[test]
+fn a_member_that_starts_colder_is_spared() {
+    hold(Fleet::Colder);
+}
