--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -405,22 +405,32 @@
     }
     // Those that the machine has accepted would be reset as the listener closes. More may come without end.
     let until = Instant::now() + LAST_CALL;
+    let wants = |e: &std::io::Error| e.kind() != ErrorKind::WouldBlock;
+    let make_room = |e: &std::io::Error| {
+        if wants(e) {
+            hub.pool.close_oldest()
+        }
+    };
+    let pending = || listener.get_ref().accept().inspect_err(make_room);
+    while let Some((stream, _)) = next_pending(pending, until) {
+        if let Ok(stream) = Async::new(stream) {
+            count += 1;
+            admit(&hub, ClientId(count), stream, 1).await;
+        }
+    }
+}
+
+/// The next connection that waits to be accepted, if there is one. A call that fails for a moment leaves those
+/// behind it where they are.
+fn next_pending<T>(mut accept: impl FnMut() -> std::io::Result<T>, until: Instant) -> Option<T> {
     while Instant::now() < until {
-        match listener.get_ref().accept() {
-            Ok((stream, _)) => {
-                if let Ok(stream) = Async::new(stream) {
-                    count += 1;
-                    admit(&hub, ClientId(count), stream, 1).await;
-                }
-            }
-            Err(e) if e.kind() == ErrorKind::WouldBlock => break,
-            // A call that fails for a moment leaves those behind it where they are.
-            Err(_) => {
-                hub.pool.close_oldest();
-                future::yield_now().await;
-            }
+        match accept() {
+            Ok(connection) => return Some(connection),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return None,
+            Err(_) => {}
         }
     }
+    None
 }
 
 /// Gives a connection its task. Room that is not there at once is looked for so often, for a few at a time
--- a/crates/router/src/transport/tests.rs
+++ b/crates/router/src/transport/tests.rs
@@ -19,3 +19,15 @@
     hub.executor.borrow_mut().take();
     Ok(())
 }
+
+#[test]
+fn a_call_that_fails_leaves_those_behind_it_to_be_accepted() {
+    let mut calls =
+        [Err(ErrorKind::Interrupted), Err(ErrorKind::ConnectionAborted), Ok(1), Ok(2)].into_iter();
+    let mut accept = || calls.next().unwrap_or(Err(ErrorKind::WouldBlock)).map_err(std::io::Error::from);
+    let until = Instant::now() + Duration::from_secs(10);
+    assert_eq!(next_pending(&mut accept, until), Some(1));
+    assert_eq!(next_pending(&mut accept, until), Some(2));
+    assert_eq!(next_pending(&mut accept, until), None);
+    assert_eq!(next_pending(|| Ok(3), Instant::now()), None, "more may come without end");
+}
--- a/crates/router/tests/program.rs
+++ b/crates/router/tests/program.rs
@@ -277,6 +277,12 @@
     std::fs::remove_file(&path).unwrap();
     signal(&child, "HUP");
     say("stays in force");
+    // One that is away for a moment, as when it is replaced, is read all the same.
+    signal(&child, "HUP");
+    std::thread::sleep(Duration::from_millis(200));
+    std::fs::write(&path, text(one.addr, "n1", SETTINGS)).unwrap();
+    let line = say("configuration: ");
+    assert!(line.contains("read again, discovery stays"), "{line}");
     assert!(two.told.lock().requests.is_empty(), "nothing of an unsound file is taken over");
     // Several signals at once end with the newest file.
     std::fs::write(&path, text(two.addr, "another", SETTINGS)).unwrap();
--- a/crates/router/tests/stop_soak.rs
+++ b/crates/router/tests/stop_soak.rs
@@ -53,7 +53,7 @@
 
 fn request(dice: &mut Dice, client: usize, n: usize) -> Request {
     let id = format!("{:04x}{client:03x}{n:05x}", dice.below(1 << 16));
-    let d = [200, 480, 900, 3000, 6000][dice.below(5) as usize];
+    let d = [1, 20, 200, 480, 900, 3000, 6000][dice.below(7) as usize];
     let text = match dice.below(3) {
         0 => format!("INSERT INTO records (k, v) VALUES ('k', '\\x9f') RETURNING v /* id={id},c=write"),
         _ => format!("SELECT v FROM records WHERE k = 'k' /* id={id},c=view"),
