--- a/crates/router/tests/program.rs
+++ b/crates/router/tests/program.rs
@@ -247,14 +247,16 @@
         format!(r#"{{"name":"{name}","discovery":"{discovery}","known":{known},"settings":{settings}}}"#)
     };
     let path = file(&format!("again-{}", host.addr.port()), &text(one.addr, "n1", SETTINGS));
-    let mut child = program()
+    let child = program()
         .env("BALANCER_LISTEN", "127.0.0.1:0")
         .env("BALANCER_DISCOVERY", one.addr.to_string())
         .env("BALANCER_CONFIG", &path)
         .stderr(Stdio::piped())
         .spawn()
         .unwrap();
-    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+    // One that outlives a test that fails would hold the tests' output open.
+    let mut child = Guard(child);
+    let mut lines = BufReader::new(child.0.stderr.take().unwrap()).lines();
     let mut say = |part: &str| lines.find(|line| line.as_ref().unwrap().contains(part)).unwrap().unwrap();
     let addr = say("listens on").split_once("listens on ").unwrap().1.parse().unwrap();
     let mut client = Client::connect(addr).unwrap();
@@ -269,16 +271,16 @@
     ];
     for (text, key) in unsound {
         std::fs::write(&path, text).unwrap();
-        signal(&child, "HUP");
+        signal(&child.0, "HUP");
         let line = say("stays in force");
         assert!(line.contains(key), "{line}");
         assert_eq!(client.ask("").unwrap(), Answer::Empty, "the connection stays");
     }
     std::fs::remove_file(&path).unwrap();
-    signal(&child, "HUP");
+    signal(&child.0, "HUP");
     say("stays in force");
     // One that is away for a moment, as when it is replaced, is read all the same.
-    signal(&child, "HUP");
+    signal(&child.0, "HUP");
     std::thread::sleep(Duration::from_millis(200));
     std::fs::write(&path, text(one.addr, "n1", SETTINGS)).unwrap();
     let line = say("configuration: ");
@@ -286,14 +288,14 @@
     assert!(two.told.lock().requests.is_empty(), "nothing of an unsound file is taken over");
     // Several signals at once end with the newest file.
     std::fs::write(&path, text(two.addr, "another", SETTINGS)).unwrap();
-    (0..20).for_each(|_| signal(&child, "HUP"));
+    (0..20).for_each(|_| signal(&child.0, "HUP"));
     say("name has changed, which needs a restart");
     assert!(two.told.wait(|t| (!t.requests.is_empty()).then_some(())).is_some());
     assert_eq!(client.ask("").unwrap(), Answer::Empty);
-    signal(&child, "HUP");
-    signal(&child, "TERM");
+    signal(&child.0, "HUP");
+    signal(&child.0, "TERM");
     assert!(client.ended());
-    assert_eq!(child.wait().unwrap().code(), Some(0));
+    assert_eq!(child.0.wait().unwrap().code(), Some(0));
 }
 
 /// A process that does not outlive a test that fails.
