--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -420,8 +420,8 @@
     }
 }
 
-/// The next connection that waits to be accepted, if there is one. A call that fails for a moment leaves those
-/// behind it where they are.
+/// The next connection that waits to be accepted, if there is one. A call that fails for a moment leaves
+/// those behind it where they are.
 fn next_pending<T>(mut accept: impl FnMut() -> std::io::Result<T>, until: Instant) -> Option<T> {
     while Instant::now() < until {
         match accept() {
