--- a/crates/config/src/router/timeouts.rs
+++ b/crates/config/src/router/timeouts.rs
@@ -7,6 +7,10 @@
 /// rest of the statement.
 pub const MAX_STATEMENT_LEN: usize = 160 * 1024;
 
+/// The most memory that one response takes while it is received, in bytes: a value of 64 KiB with its
+/// headers, once as it is received and once as it is passed on.
+pub const MAX_RESPONSE_MEMORY: usize = 160 * 1024;
+
 /// The length in bytes up to which a statement is received without one of the permits for large statements.
 pub const LARGE_STATEMENT_LEN: usize = 16 * 1024;
 
--- a/crates/router/src/protocol/host.rs
+++ b/crates/router/src/protocol/host.rs
@@ -5,7 +5,7 @@
 
 use basalthill_wire::{
     error_code, put_cstring, put_message, read_cstring, ByteRange, MessageBuffer, MessageHeader,
-    ProtocolError, HEADER_LEN,
+    ProtocolError, HEADER_LEN, READY_FOR_QUERY,
 };
 
 /// The startup message to a host.
@@ -19,6 +19,8 @@
 const MAX_DESCRIPTION_LEN: usize = 1024;
 /// The longest accepted CommandComplete, in bytes.
 const MAX_COMMAND_TAG_LEN: usize = 64;
+/// The longest CommandComplete and ReadyForQuery after a row, in bytes.
+const MAX_MESSAGES_AFTER_ROW_LEN: usize = HEADER_LEN + MAX_COMMAND_TAG_LEN + READY_FOR_QUERY.len();
 /// The longest accepted message of any other type, such as a parameter, a notice or an error, in bytes.
 const MAX_TEXT_MESSAGE_LEN: usize = 8 * 1024;
 
@@ -53,6 +55,8 @@
 pub enum QueryOutcome {
     /// One row of one column and CommandComplete.
     Row(Row),
+    /// One row and CommandComplete, but the row was discarded by [`HostCodec::discard_row`].
+    RowDiscarded,
     /// An ErrorResponse with this SQLSTATE.
     Error(String),
     /// No row: the query was empty, or it returned none.
@@ -72,6 +76,13 @@
     pub binary: bool,
 }
 
+impl Row {
+    /// Returns the number of bytes that the row holds in memory.
+    pub fn memory(&self) -> usize {
+        self.bytes.capacity()
+    }
+}
+
 /// An event that results from a host's messages.
 #[derive(Clone, Debug, PartialEq)]
 pub enum HostEvent {
@@ -97,12 +108,54 @@
     buffer: MessageBuffer,
     phase: Phase,
     reported: ReportedState,
+    /// The number of bytes of a discarded row that have not been received.
+    discarding: usize,
 }
 
 impl HostCodec {
-    /// Appends received bytes to the buffer.
+    /// Appends received bytes to the buffer, except for those of a discarded row.
     pub fn feed(&mut self, bytes: &[u8]) {
-        self.buffer.extend(bytes);
+        let discarded = self.discarding.min(bytes.len());
+        self.discarding -= discarded;
+        self.buffer.extend(&bytes[discarded..]);
+    }
+
+    /// Returns the number of bytes that the connection holds in memory.
+    pub fn memory(&self) -> usize {
+        let response = match &self.phase {
+            Phase::Responding(progress) => progress.bytes.capacity(),
+            Phase::Startup | Phase::Idle => 0,
+        };
+        let load_report = self.reported.load_report.as_ref().map_or(0, String::capacity);
+        self.buffer.capacity() + response + load_report
+    }
+
+    /// Returns the number of bytes that are missing from the message at the front of the buffer, or from its
+    /// header.
+    pub fn missing_bytes(&self) -> usize {
+        self.buffer.missing_bytes()
+    }
+
+    /// Allocates memory for the rest of the message at the front of the buffer.
+    pub fn reserve_message(&mut self) {
+        self.buffer.reserve(self.missing_bytes());
+    }
+
+    /// Returns whether the message at the front of the buffer is a row that belongs to a response and has not
+    /// been received completely.
+    pub fn is_receiving_row(&self) -> bool {
+        let awaits_row = matches!(&self.phase, Phase::Responding(progress) if progress.awaits_row());
+        awaits_row && self.buffer.unread().starts_with(b"D") && self.buffer.len() >= HEADER_LEN
+    }
+
+    /// Discards the row that is being received: what has been received of it, and the rest as it is received.
+    /// The response then ends with [`QueryOutcome::RowDiscarded`]. The caller has checked
+    /// [`HostCodec::is_receiving_row`].
+    pub fn discard_row(&mut self) {
+        let Phase::Responding(progress) = &mut self.phase else { return };
+        progress.discard_row();
+        self.discarding = self.buffer.missing_bytes();
+        self.buffer.consume(self.buffer.len());
     }
 
     /// Returns whether a query may be written.
@@ -251,6 +304,8 @@
     binary: bool,
     /// Whether CommandComplete has arrived.
     command_completed: bool,
+    /// Whether the row was discarded while it was received.
+    row_discarded: bool,
     /// The SQLSTATE of an ErrorResponse.
     error: Option<String>,
 }
@@ -260,6 +315,18 @@
         !self.parts.is_empty() || self.error.is_some()
     }
 
+    /// Returns whether a DataRow may be received next.
+    fn awaits_row(&self) -> bool {
+        self.parts.len() == 1 && !self.command_completed && !self.row_discarded
+    }
+
+    /// Records a row that is discarded. The messages that follow it are handled as usual.
+    fn discard_row(&mut self) {
+        self.row_discarded = true;
+        self.rows += 1;
+        self.parts.push(self.bytes.len()..self.bytes.len());
+    }
+
     /// Handles a message. `message` includes the header.
     fn record_message(&mut self, kind: u8, message: &[u8]) -> Result<(), ProtocolError> {
         let body = &message[HEADER_LEN..];
@@ -271,7 +338,7 @@
                 self.binary = body.ends_with(&[0, 1]);
                 self.append(message)?;
             }
-            b'D' if self.parts.len() == 1 && !self.command_completed => self.record_row(kind, message)?,
+            b'D' if self.awaits_row() => self.record_row(kind, message)?,
             b'C' if self.parts.len() < ROW_MESSAGE_COUNT
                 && !self.command_completed
                 && body.ends_with(&[0]) =>
@@ -295,6 +362,8 @@
             _ => return Err(ProtocolError::ValueLength(kind)),
         };
         self.rows += 1;
+        // The messages that follow the row to the client fit as well, so that the row is not copied again.
+        self.bytes.reserve_exact(message.len() + MAX_MESSAGES_AFTER_ROW_LEN);
         self.append(message)?;
         self.value = value_len.map(|len| self.bytes.len() - len..self.bytes.len());
         Ok(())
@@ -314,13 +383,17 @@
     fn into_outcome(mut self) -> QueryOutcome {
         match self.error.take() {
             Some(code) => QueryOutcome::Error(code),
+            None if self.row_discarded && self.command_completed => QueryOutcome::RowDiscarded,
             None => self.into_row().map_or(QueryOutcome::Empty, QueryOutcome::Row),
         }
     }
 
     /// Returns the row, if all messages that belong to it have arrived.
     fn into_row(self) -> Option<Row> {
-        let is_complete = self.rows == 1 && self.parts.len() == ROW_MESSAGE_COUNT && self.command_completed;
+        let is_complete = self.rows == 1
+            && self.parts.len() == ROW_MESSAGE_COUNT
+            && self.command_completed
+            && !self.row_discarded;
         if !is_complete || self.error.is_some() {
             return None;
         }
--- a/crates/router/src/routing/attempts.rs
+++ b/crates/router/src/routing/attempts.rs
@@ -7,10 +7,11 @@
 use super::outcomes::{
     attempt_status, is_statement_error, replication_from_load_report, reported_replication,
 };
+use super::request_table::OpenRequest;
 use super::requests::InvalidRequest;
 use super::system_clock::time_from_unix_ms;
 use super::timers::Timer;
-use super::{Effect, ExchangeStart, Query, Reply, Router};
+use super::{Effect, ExchangeStart, Query, Reply, Requester, Router};
 use crate::protocol::host::{QueryOutcome, ReportedState};
 use basalthill_fleet::Budget;
 use basalthill_policy::api::{Attempt, Event, MemberId, Outcome, RequestId, Status, Time};
@@ -79,7 +80,7 @@
         let start = ExchangeStart {
             id: ExchangeId::Attempt(id, number),
             member,
-            client: Some(open.client),
+            requester: Some(Requester { client: open.client, command: open.command }),
             addr,
             query: Query::Statement { statement, deadline, floor_ms: open.floor_ms },
         };
@@ -132,7 +133,8 @@
     }
 
     /// Replies to the client if the host's response completes the request, that is, if it is a row or an
-    /// error in the statement itself.
+    /// error in the statement itself. If the row was discarded, a read is rejected: it has no effect, so its
+    /// client may safely retry it. A write has run and is answered as failed.
     fn deliver_outcome(
         &mut self,
         now: Time,
@@ -147,6 +149,13 @@
                 self.record_served(now, id, position, out);
                 self.reply_to_client(now, id, Reply::Served(row), out);
             }
+            QueryOutcome::RowDiscarded => {
+                let position = reported.position_ms.map(time_from_unix_ms);
+                self.record_served(now, id, position, out);
+                let is_write = self.requests.get(id).is_some_and(OpenRequest::is_write);
+                let reply = if is_write { Reply::Failed } else { Reply::Rejected { retry_after_ms: None } };
+                self.reply_to_client(now, id, reply, out);
+            }
             QueryOutcome::Error(code) if is_statement_error(&code) => {
                 let error = InvalidRequest::RejectedByHost.into();
                 self.reply_to_client(now, id, Reply::Invalid(error), out);
--- a/crates/router/src/routing/effect.rs
+++ b/crates/router/src/routing/effect.rs
@@ -28,6 +28,16 @@
     Invalid(StatementError),
 }
 
+impl Reply {
+    /// Returns the number of bytes that the row in the reply holds in memory.
+    pub fn row_memory(&self) -> usize {
+        match self {
+            Reply::Served(row) => row.memory(),
+            Reply::Rejected { .. } | Reply::Failed | Reply::Cancelled | Reply::Invalid(_) => 0,
+        }
+    }
+}
+
 /// The query of an exchange.
 #[derive(Clone, Debug)]
 pub enum Query {
@@ -46,6 +56,25 @@
     HealthCheck(&'static str),
 }
 
+impl Query {
+    /// Returns the deadline of an attempt; `None` for a health check.
+    pub fn deadline(&self) -> Option<Time> {
+        match self {
+            Query::Statement { deadline, .. } => Some(*deadline),
+            Query::HealthCheck(_) => None,
+        }
+    }
+}
+
+/// The command that awaits the response of an exchange.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Requester {
+    /// The connection on which the command arrived.
+    pub client: ClientId,
+    /// The command.
+    pub command: CommandId,
+}
+
 /// An exchange that transport must start.
 #[derive(Clone, Debug)]
 pub struct ExchangeStart {
@@ -53,8 +82,8 @@
     pub id: ExchangeId,
     /// The member to which the query is sent.
     pub member: MemberId,
-    /// The client that awaits the reply; `None` for a health check.
-    pub client: Option<ClientId>,
+    /// The command that awaits the response; `None` for a health check.
+    pub requester: Option<Requester>,
     /// The member's address.
     pub addr: SocketAddr,
     /// The query to send.
--- a/crates/router/src/routing/input.rs
+++ b/crates/router/src/routing/input.rs
@@ -61,6 +61,16 @@
     MalformedResponse,
 }
 
+impl ExchangeResult {
+    /// Returns the number of bytes that the row in the response holds in memory.
+    pub fn row_memory(&self) -> usize {
+        match self {
+            ExchangeResult::Response(QueryOutcome::Row(row), _) => row.memory(),
+            _ => 0,
+        }
+    }
+}
+
 /// An event for the router. It is passed to [`Router::handle`](super::Router::handle) with the time at which
 /// it happened.
 #[derive(Debug)]
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -39,7 +39,7 @@
 
 pub use clock::Clock;
 pub use counters::RequestCounters;
-pub use effect::{Effect, ExchangeStart, Query, Reply};
+pub use effect::{Effect, ExchangeStart, Query, Reply, Requester};
 pub use input::{
     ClientId, ClientRequest, CommandId, ExchangeId, ExchangeResult, FleetInput, Input, ProxyMessage,
 };
--- a/crates/router/src/routing/probes.rs
+++ b/crates/router/src/routing/probes.rs
@@ -70,7 +70,7 @@
         out.push(Effect::StartExchange(ExchangeStart {
             id: ExchangeId::Probe(number),
             member,
-            client: None,
+            requester: None,
             addr,
             query: Query::HealthCheck(text),
         }));
--- a/crates/router/src/transport/client/mod.rs
+++ b/crates/router/src/transport/client/mod.rs
@@ -3,11 +3,13 @@
 mod admission;
 mod close;
 mod eviction;
+mod memory_counts;
 mod registry;
 mod serve;
 
 pub use admission::{admit, MAX_ADMISSION_ATTEMPTS};
 pub use eviction::EvictionPriority;
+pub use memory_counts::MemoryCounts;
 pub use registry::{ClientRegistry, ConnectionCounts};
 
 use super::conversation::Conversation;
@@ -58,7 +60,7 @@
         let _ = stream.get_ref().set_nodelay(true);
         let stream = Rc::new(stream);
         let cancel_key = driver.clients.cancel_key(id);
-        let handle = Rc::new(ClientHandle::new(&stream, cancel_key));
+        let handle = Rc::new(ClientHandle::new(&stream, cancel_key, driver.open_response_account()));
         driver.clients.insert(id, Rc::clone(&handle));
         driver.handle(Input::ClientConnected(id));
         let unread_since = driver.clock.now().minus(Time(connected_at.elapsed().as_nanos() as u64));
--- a/crates/router/src/transport/client/registry.rs
+++ b/crates/router/src/transport/client/registry.rs
@@ -2,12 +2,15 @@
 //! the state of each connection as other tasks see it.
 
 use super::eviction::{ConnectionState, EvictionPriority};
+use super::memory_counts::MemoryCounters;
 use crate::protocol::client::CancelKey;
 use crate::routing::{ClientId, CommandId, Reply};
 use crate::transport::io;
+use crate::transport::memory_budget::MemoryAccount;
 use crate::transport::semaphore::Semaphore;
 use async_io::Async;
 use basalthill_config::router::{RouterConfig, RESERVED_SOCKETS};
+use event_listener::Event;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::poll_fn;
@@ -15,7 +18,10 @@
 use std::net::TcpStream;
 use std::rc::{Rc, Weak};
 use std::task::{Poll, Waker};
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// The time for which a client may accept none of its output while others wait for the memory that it holds.
+const READER_STALL_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// A reply that is queued for its client's task.
 pub struct CommandReply {
@@ -29,7 +35,18 @@
 /// queue for its task.
 pub struct ClientHandle {
     /// Replies that the connection's task has not taken yet.
-    pub(super) replies: RefCell<Vec<CommandReply>>,
+    replies: RefCell<Vec<CommandReply>>,
+    /// The memory of all replies that the client has not received completely.
+    reply_memory: MemoryAccount,
+    /// The command whose reply the client receives next, if it has none yet and the client keeps up with
+    /// reading.
+    pub(in crate::transport) next_reply: Cell<Option<CommandId>>,
+    /// Notified when `next_reply` changes, or the client has disconnected.
+    pub(in crate::transport) next_reply_changed: Event,
+    /// Since when the client has accepted none of the output; `None` if there is no output.
+    pub(super) output_stalled_since: Cell<Option<Instant>>,
+    /// Whether the connection has to be reset to free the memory of its replies.
+    reset_requested: Cell<bool>,
     /// The session token to send next, if there is one.
     pub(super) session_token: RefCell<Option<String>>,
     /// Whether something was queued or has changed since the connection's task last checked.
@@ -47,9 +64,18 @@
 
 impl ClientHandle {
     /// Creates the handle of a client that has just been admitted.
-    pub(super) fn new(stream: &Rc<Async<TcpStream>>, cancel_key: CancelKey) -> ClientHandle {
+    pub(super) fn new(
+        stream: &Rc<Async<TcpStream>>,
+        cancel_key: CancelKey,
+        reply_memory: MemoryAccount,
+    ) -> ClientHandle {
         ClientHandle {
             replies: RefCell::default(),
+            reply_memory,
+            next_reply: Cell::default(),
+            next_reply_changed: Event::new(),
+            output_stalled_since: Cell::default(),
+            reset_requested: Cell::new(false),
             session_token: RefCell::default(),
             changed: Cell::new(false),
             waker: RefCell::default(),
@@ -63,10 +89,40 @@
 
     /// Queues the reply to a command and wakes the connection's task.
     pub fn push_reply(&self, command: CommandId, reply: Reply) {
+        self.reply_memory.add_held(reply.row_memory());
         self.replies.borrow_mut().push(CommandReply { command, reply });
         self.wake();
     }
 
+    /// Takes the replies that are queued.
+    pub(super) fn take_replies(&self) -> Vec<CommandReply> {
+        self.replies.take()
+    }
+
+    /// Records that the connection's task holds `bytes` of replies, besides those that are queued here.
+    pub(super) fn set_reply_memory(&self, bytes: usize) {
+        let queued: usize = self.replies.borrow().iter().map(|queued| queued.reply.row_memory()).sum();
+        self.reply_memory.set_held(bytes + queued);
+    }
+
+    /// Records the command whose reply the client receives next.
+    pub(super) fn set_next_reply(&self, command: Option<CommandId>) {
+        if self.next_reply.replace(command) != command {
+            self.next_reply_changed.notify(usize::MAX);
+        }
+    }
+
+    /// Requests that the connection be reset.
+    fn request_reset(&self) {
+        self.reset_requested.set(true);
+        self.wake();
+    }
+
+    /// Returns whether the connection has to be reset to free the memory of its replies.
+    pub(super) fn is_reset_requested(&self) -> bool {
+        self.reset_requested.get()
+    }
+
     /// Queues a session token and wakes the connection's task. The token replaces one that has not been sent.
     pub fn set_session_token(&self, token: String) {
         *self.session_token.borrow_mut() = Some(token);
@@ -139,6 +195,8 @@
     /// The hasher that derives the secrets of cancel keys.
     secret_hasher: RandomState,
     connection_counts: Cell<ConnectionCounts>,
+    /// What the router has done since the counts were last taken because memory was short.
+    pub memory_counts: MemoryCounters,
 }
 
 impl ClientRegistry {
@@ -154,6 +212,7 @@
             sends_close_notice: Cell::new(config.local_settings.close_notice),
             secret_hasher: RandomState::new(),
             connection_counts: Cell::default(),
+            memory_counts: MemoryCounters::default(),
         }
     }
 
@@ -181,7 +240,32 @@
 
     /// Removes a client.
     pub(super) fn remove(&self, client: ClientId) {
-        self.handles.borrow_mut().remove(&client);
+        let removed = self.handles.borrow_mut().remove(&client);
+        if let Some(handle) = removed {
+            handle.next_reply_changed.notify(usize::MAX);
+        }
+    }
+
+    /// Resets the connections of clients that have accepted no byte of their output for
+    /// [`READER_STALL_TIMEOUT`], longest first, until they free `needed` bytes of the response memory.
+    pub fn reset_stalled_readers(&self, needed: usize) {
+        let handles = self.handles.borrow();
+        let mut stalled: Vec<(Instant, &Rc<ClientHandle>)> = handles
+            .values()
+            .filter(|handle| handle.reply_memory.charge() > 0 && !handle.is_reset_requested())
+            .filter_map(|handle| Some((handle.output_stalled_since.get()?, handle)))
+            .filter(|(since, _)| since.elapsed() >= READER_STALL_TIMEOUT)
+            .collect();
+        stalled.sort_by_key(|(since, _)| *since);
+        let mut freed = 0;
+        for (_, handle) in stalled {
+            if freed >= needed {
+                return;
+            }
+            freed += handle.reply_memory.charge();
+            self.memory_counts.count_reset_reader();
+            handle.request_reset();
+        }
     }
 
     /// Returns the cancel key of a client's connection.
--- a/crates/router/src/transport/client/serve.rs
+++ b/crates/router/src/transport/client/serve.rs
@@ -82,10 +82,11 @@
     fn run_steps(&self) -> bool {
         let mut conversation = self.conversation.borrow_mut();
         for _ in 0..MAX_STEPS_AT_ONCE {
+            conversation.allow_concurrent_reads(self.driver.has_spare_resources());
             if let Some(token) = self.handle.session_token.take() {
                 conversation.push_session_token(&token);
             }
-            for completed in self.handle.replies.take() {
+            for completed in self.handle.take_replies() {
                 conversation.complete_command(completed.command, completed.reply);
             }
             match conversation.next_step(self.driver.clients.is_ready()) {
@@ -119,6 +120,13 @@
             _ => ConnectionState::Unused(self.connected_at),
         };
         self.handle.state.set(state);
+        self.handle.set_reply_memory(conversation.reply_memory());
+        self.handle.set_next_reply(conversation.next_reply());
+        if !conversation.has_output() {
+            self.handle.output_stalled_since.set(None);
+        } else if self.handle.output_stalled_since.get().is_none() {
+            self.handle.output_stalled_since.set(Some(Instant::now()));
+        }
         self.handle.message_started.set(self.message_started());
     }
 
@@ -139,8 +147,8 @@
         self.is_between_requests() && !self.conversation.borrow().has_been_used()
     }
 
-    /// Checks for the end of the conversation, the timeouts, a shutdown of the router and an eviction, in
-    /// this order.
+    /// Checks for the end of the conversation, a requested reset, the timeouts, a shutdown of the router and
+    /// an eviction, in this order.
     fn check(
         &self,
         write_progress: &mut WriteProgress,
@@ -150,6 +158,10 @@
         if self.conversation.borrow().is_idle() && self.conversation.borrow().is_closing() {
             return Err(ConnectionEnd::Closed);
         }
+        if self.handle.is_reset_requested() {
+            io::reset_on_close(&self.stream);
+            return Err(ConnectionEnd::Disconnected);
+        }
         self.check_write_timeout(now, write_progress, wake_up)?;
         if let Check::Changed = self.check_message_timeout(now, wake_up) {
             return Ok(Check::Changed);
@@ -271,7 +283,7 @@
 
     /// Reads once from `stream` into the conversation.
     fn receive(&self, stream: &TcpStream) -> std::io::Result<usize> {
-        let result = self.driver.read_buffer.read_once(stream, |received| {
+        let result = self.driver.read_buffer.read_once(stream, io::READ_BUFFER_LEN, |received| {
             let now = self.driver.clock.now();
             self.conversation.borrow_mut().feed(received.bytes, received.drained, now);
         });
@@ -322,7 +334,10 @@
         };
         match io::write_with(&self.stream, call).await? {
             0 => Err(ErrorKind::WriteZero.into()),
-            len => Ok(self.conversation.borrow_mut().mark_written(len)),
+            len => {
+                self.handle.output_stalled_since.set(Some(Instant::now()));
+                Ok(self.conversation.borrow_mut().mark_written(len))
+            }
         }
     }
 }
--- a/crates/router/src/transport/conversation.rs
+++ b/crates/router/src/transport/conversation.rs
@@ -5,7 +5,8 @@
 //! many bytes of replies are queued.
 //!
 //! Each complete command gets exactly one reply, in the order of the commands. Up to [`MAX_CONCURRENT_READS`]
-//! consecutive reads are forwarded concurrently. A write is forwarded once all earlier commands have their
+//! consecutive reads are forwarded concurrently, and only one while the
+//! router is short of memory or descriptors. A write is forwarded once all earlier commands have their
 //! replies, and later commands wait for its reply, so that a session's commands take effect in their order.
 
 mod input;
@@ -89,6 +90,8 @@
     output: OutputQueue,
     /// The number of requests that have been forwarded and have no reply yet.
     in_flight: usize,
+    /// The number of reads that may be in flight.
+    max_concurrent_reads: usize,
     /// Whether the request in flight is a write.
     write_in_flight: bool,
     /// The id of the next command to forward.
@@ -115,6 +118,7 @@
             replies: ReplyQueue::default(),
             output: OutputQueue::default(),
             in_flight: 0,
+            max_concurrent_reads: MAX_CONCURRENT_READS,
             write_in_flight: false,
             next_command: 0,
             faults: 0,
@@ -192,14 +196,18 @@
 /// These methods handle the client's messages in their order: valid requests and cancellations are returned
 /// as steps for the caller, and any other message gets a reply or closes the conversation.
 impl Conversation {
+    /// Sets whether several reads may be in flight, whose rows may have to wait in memory for earlier ones.
+    pub fn allow_concurrent_reads(&mut self, allowed: bool) {
+        self.max_concurrent_reads = if allowed { MAX_CONCURRENT_READS } else { 1 };
+    }
+
     /// Returns the next step that can be executed now, if there is one.
     pub fn next_step(&mut self, router_is_ready: bool) -> Option<Step> {
         if router_is_ready {
             self.replies.complete_empty_queries();
             self.flush_replies();
         }
-        let output_is_full = self.output.unwritten_bytes() > LARGE_STATEMENT_LEN;
-        if self.closing || output_is_full || self.replies.buffered_bytes() > LARGE_STATEMENT_LEN {
+        if self.closing || self.is_output_full() || self.replies.memory() > LARGE_STATEMENT_LEN {
             return None;
         }
         if self.pending.is_none() {
@@ -233,7 +241,7 @@
         let is_write = self.pending.as_ref()?.statement.verb == Verb::Insert;
         let may_forward = match is_write {
             true => self.in_flight == 0,
-            false => !self.write_in_flight && self.in_flight < MAX_CONCURRENT_READS,
+            false => !self.write_in_flight && self.in_flight < self.max_concurrent_reads,
         };
         if !may_forward {
             return None;
@@ -361,6 +369,22 @@
         self.output.push(client::session_token(token));
     }
 
+    /// Returns whether the client has so much output to read that no further request is forwarded.
+    fn is_output_full(&self) -> bool {
+        self.output.unwritten_size() > LARGE_STATEMENT_LEN
+    }
+
+    /// Returns the number of bytes that the replies and the output hold in memory.
+    pub fn reply_memory(&self) -> usize {
+        self.replies.memory() + self.output.memory()
+    }
+
+    /// Returns the command whose reply the client receives next, if it has been forwarded and the client
+    /// keeps up with reading.
+    pub fn next_reply(&self) -> Option<CommandId> {
+        self.replies.first_forwarded().filter(|_| !self.is_output_full())
+    }
+
     /// Returns whether there is output to write.
     pub fn has_output(&self) -> bool {
         !self.output.is_empty()
--- a/crates/router/src/transport/conversation/replies.rs
+++ b/crates/router/src/transport/conversation/replies.rs
@@ -1,5 +1,6 @@
 //! The replies to a client's commands, in the order of the commands.
 
+use super::output::part_memory;
 use crate::protocol::client;
 use crate::routing::CommandId;
 use basalthill_wire::sqlstate::CANNOT_CONNECT_NOW;
@@ -16,18 +17,22 @@
     EmptyQuery,
 }
 
+/// The memory of an entry in the queue, besides the bytes of its reply.
+const ENTRY_SIZE: usize = size_of::<ReplyState>();
+
 /// The replies that have not been moved to the output, in the order of their commands.
 #[derive(Debug, Default)]
 pub struct ReplyQueue {
     replies: VecDeque<ReplyState>,
-    /// The number of bytes in replies that wait for an earlier one, or for the router to be ready.
-    buffered_bytes: usize,
+    /// The number of bytes that replies hold in memory which wait for an earlier one, or for the router to be
+    /// ready.
+    memory: usize,
 }
 
 impl ReplyQueue {
     /// Appends a reply that is ready.
     pub fn push_ready(&mut self, bytes: Vec<u8>) {
-        self.buffered_bytes += bytes.len();
+        self.memory += part_memory(&bytes);
         self.replies.push_back(ReplyState::Ready(bytes));
     }
 
@@ -38,14 +43,15 @@
 
     /// Appends a placeholder for the reply to an empty query, which is sent once the router is ready.
     pub fn push_empty_query(&mut self) {
-        self.buffered_bytes += client::empty_query().len();
         self.replies.push_back(ReplyState::EmptyQuery);
     }
 
     /// Completes the replies to all empty queries, once the router is ready.
     pub fn complete_empty_queries(&mut self) {
         for reply in self.replies.iter_mut().filter(|r| matches!(r, ReplyState::EmptyQuery)) {
-            *reply = ReplyState::Ready(client::empty_query());
+            let bytes = client::empty_query();
+            self.memory += part_memory(&bytes);
+            *reply = ReplyState::Ready(bytes);
         }
     }
 
@@ -57,10 +63,12 @@
     /// Stores the reply at its position. Empty queries before it are rejected as not ready, so that the reply
     /// does not wait until the router is ready.
     pub fn complete(&mut self, position: usize, bytes: Vec<u8>) {
-        self.buffered_bytes += bytes.len();
+        self.memory += part_memory(&bytes);
         self.replies[position] = ReplyState::Ready(bytes);
         for reply in self.replies.iter_mut().take(position).filter(|r| matches!(r, ReplyState::EmptyQuery)) {
-            *reply = ReplyState::Ready(client::error(CANNOT_CONNECT_NOW, "not ready yet", None));
+            let bytes = client::error(CANNOT_CONNECT_NOW, "not ready yet", None);
+            self.memory += part_memory(&bytes);
+            *reply = ReplyState::Ready(bytes);
         }
     }
 
@@ -68,13 +76,22 @@
     pub fn pop_ready(&mut self) -> Option<Vec<u8>> {
         let Some(ReplyState::Ready(_)) = self.replies.front() else { return None };
         let Some(ReplyState::Ready(bytes)) = self.replies.pop_front() else { return None };
-        self.buffered_bytes = self.buffered_bytes.saturating_sub(bytes.len());
+        self.memory -= part_memory(&bytes);
         Some(bytes)
     }
 
-    /// Returns the number of bytes in replies that wait for an earlier one, or for the router to be ready.
-    pub fn buffered_bytes(&self) -> usize {
-        self.buffered_bytes
+    /// Returns the number of bytes that replies hold in memory which wait for an earlier one, or for the
+    /// router to be ready. A command without a reply counts as an empty one.
+    pub fn memory(&self) -> usize {
+        self.memory + self.replies.len() * ENTRY_SIZE
+    }
+
+    /// Returns the first command, if it has been forwarded and has no reply yet.
+    pub fn first_forwarded(&self) -> Option<CommandId> {
+        match self.replies.front() {
+            Some(ReplyState::Forwarded(command)) => Some(*command),
+            _ => None,
+        }
     }
 
     /// Returns whether the queue is empty.
--- a/crates/router/src/transport/driver.rs
+++ b/crates/router/src/transport/driver.rs
@@ -2,9 +2,10 @@
 //! routing returns.
 
 use super::client::{ClientRegistry, EvictionPriority};
-use super::exchange::{self, RunningExchanges};
+use super::exchange::{self, FinishedExchange, RunningExchanges};
 use super::fleet::FleetLink;
 use super::io::ReadBuffer;
+use super::memory_budget::{MemoryAccount, MemoryBudget};
 use super::pool::{HostPool, PoolTimeouts};
 use super::semaphore::{Permit, Semaphore};
 use super::shutdown::Shutdown;
@@ -37,6 +38,12 @@
     pub pool: HostPool,
     /// The file descriptors that client and host connections may use together.
     pub descriptors: Semaphore,
+    /// The memory that responses may use on all connections, from the host's socket to the client's.
+    pub response_memory: MemoryBudget,
+    /// The number of connections up to which a client may have several requests in flight.
+    pipelining_descriptors: usize,
+    /// The number of bytes that each connection may hold without a reservation.
+    connection_share: usize,
     /// The buffer that all sockets are read into.
     pub read_buffer: ReadBuffer,
     /// The watches on discovery's endpoint list.
@@ -61,6 +68,7 @@
         let now = clock.now();
         let sessions = snapshot_file::load_sessions(now, config);
         let deployment = config.deployment.clone();
+        let response_memory = MemoryBudget::new(config.limits.response_memory_bytes());
         let router = Router::new(now, deployment, sessions, config.seed, known_endpoints, &mut effects);
         let driver = Rc::new(Driver {
             clock,
@@ -70,6 +78,9 @@
             exchanges: RunningExchanges::default(),
             pool: HostPool::new(pool_timeouts(config)),
             descriptors: Semaphore::new(config.limits.descriptors()),
+            response_memory,
+            pipelining_descriptors: config.limits.pipelining_descriptors(),
+            connection_share: config.limits.connection_share_bytes(),
             read_buffer: ReadBuffer::default(),
             discovery: DiscoveryWatches::new(config),
             fleet: FleetLink::default(),
@@ -140,8 +151,10 @@
         let driver = Rc::clone(self);
         let id = start.id;
         let task = self.tasks.spawn(async move {
-            let result = exchange::run(&driver, start).await;
+            let FinishedExchange { result, row_memory } = exchange::run(&driver, start).await;
             driver.finish_exchange(id, result);
+            // From here on, the row is charged to the account of its client.
+            drop(row_memory);
         });
         if let Some(task) = task {
             self.exchanges.insert(id, task);
@@ -154,6 +167,19 @@
         self.handle(Input::ExchangeFinished(id, result));
     }
 
+    /// Returns whether there are so many descriptors and so much memory for responses that a client may have
+    /// several requests in flight.
+    pub fn has_spare_resources(&self) -> bool {
+        let connections = self.clients.len() + self.exchanges.len();
+        connections < self.pipelining_descriptors && !self.response_memory.is_scarce()
+    }
+
+    /// Opens the account of a connection for the responses that it receives from a host or writes to a
+    /// client.
+    pub fn open_response_account(&self) -> MemoryAccount {
+        self.response_memory.open_account(self.connection_share)
+    }
+
     /// Acquires a permit for a descriptor. If none is left, closes the host connection that has been idle the
     /// longest, and if that frees no descriptor, evicts a client connection. Returns `None` if neither frees
     /// one.
--- a/crates/router/src/transport/exchange.rs
+++ b/crates/router/src/transport/exchange.rs
@@ -3,7 +3,9 @@
 
 use super::driver::Driver;
 use super::io;
+use super::memory_budget::MemoryAccount;
 use super::pool::{Checkout, HostConnection};
+use super::response_memory::{self, AwaitedResponse};
 use super::semaphore::{Permit, RETRY_INTERVAL};
 use crate::protocol::host::{self, HostCodec, HostEvent, QueryOutcome, ReportedState};
 use crate::routing::{ExchangeId, ExchangeResult, ExchangeStart, Input, Query};
@@ -54,16 +56,37 @@
     }
 }
 
+/// The result of an exchange.
+pub struct FinishedExchange {
+    /// The result for routing.
+    pub result: ExchangeResult,
+    /// The account that the memory of the result's row is charged to.
+    pub row_memory: MemoryAccount,
+}
+
 /// Runs one exchange and returns its result. If the future is dropped before it completes, the connection is
 /// closed, so that a late response can't be taken for the response to a later query.
-pub async fn run(driver: &Rc<Driver>, start: ExchangeStart) -> ExchangeResult {
-    let ExchangeStart { id, member, client, addr, query } = start;
-    let mut connection = match obtain_connection(driver, addr, &query).await {
-        Ok(connection) => connection,
-        Err(result) => return result,
+pub async fn run(driver: &Rc<Driver>, start: ExchangeStart) -> FinishedExchange {
+    let row_memory = driver.response_memory.open_account(0);
+    let result = match obtain_connection(driver, start.addr, &start.query).await {
+        Ok(connection) => run_on_connection(driver, start, connection, &row_memory).await,
+        Err(result) => result,
     };
+    FinishedExchange { result, row_memory }
+}
+
+/// Runs an exchange on an open connection, which returns to the pool afterwards if it can be reused. The
+/// memory of the result's row is charged to `row_memory`.
+async fn run_on_connection(
+    driver: &Rc<Driver>,
+    start: ExchangeStart,
+    mut connection: HostConnection,
+    row_memory: &MemoryAccount,
+) -> ExchangeResult {
+    let ExchangeStart { id, member, requester, addr, query } = start;
     // The client may have disconnected while the exchange waited for a connection. On a busy router the
     // client's task may not have been scheduled since, so the socket is checked here.
+    let client = requester.map(|requester| requester.client);
     if let Some(client) = client.filter(|client| driver.clients.has_disconnected(*client)) {
         driver.handle(Input::ClientDisconnected(client));
     }
@@ -78,7 +101,12 @@
         tracing::debug!(%addr, error = %e, "host connection failed before the query was written completely");
         return ExchangeResult::NotSent;
     }
-    let result = read_response(driver, addr, &mut connection).await;
+    let awaited =
+        requester.zip(query.deadline()).map(|(requester, deadline)| AwaitedResponse { requester, deadline });
+    let result = read_response(driver, addr, &mut connection, awaited).await;
+    row_memory.set_held(result.row_memory());
+    connection.memory.set_held(connection.codec.memory());
+    connection.memory.release_reservation();
     if connection.codec.is_idle() && !driver.shutdown.is_draining() {
         driver.pool.check_in(addr, connection);
     }
@@ -93,7 +121,7 @@
 ) -> Result<HostConnection, ExchangeResult> {
     loop {
         match driver.pool.check_out(addr) {
-            Checkout::Ready(connection) => return Ok(connection),
+            Checkout::Ready(connection) => return Ok(*connection),
             Checkout::ReusableAfter(delay) => drop(Timer::after(delay).await),
             // The connect budget is shared by all routers; its exhaustion is not a failure of the member.
             Checkout::Empty if !may_connect(driver, query) => return Err(ExchangeResult::Skipped),
@@ -145,7 +173,7 @@
         }
         Timer::after(RETRY_INTERVAL).await;
         if let Checkout::Ready(connection) = driver.pool.check_out(addr) {
-            return Ok(connection);
+            return Ok(*connection);
         }
     }
 }
@@ -159,12 +187,12 @@
 ) -> Result<HostConnection, ExchangeResult> {
     let _ = stream.get_ref().set_nodelay(true);
     io::write_all(&stream, &[&host::startup()]).await.map_err(|_| ExchangeResult::NotSent)?;
-    let mut codec = HostCodec::default();
+    let memory = driver.open_response_account();
+    let mut connection =
+        HostConnection { stream, codec: HostCodec::default(), memory, _descriptor: descriptor };
     loop {
-        match codec.next_event() {
-            Ok(Some(HostEvent::Ready)) => {
-                return Ok(HostConnection { stream, codec, _descriptor: descriptor });
-            }
+        match connection.codec.next_event() {
+            Ok(Some(HostEvent::Ready)) => return Ok(connection),
             Ok(Some(HostEvent::Rejected(code))) => return Err(ExchangeResult::ConnectionRejected(code)),
             Ok(Some(HostEvent::QueryEnded(..))) => return Err(ExchangeResult::NotSent),
             Ok(None) => {}
@@ -173,7 +201,8 @@
                 return Err(ExchangeResult::NotSent);
             }
         }
-        if !matches!(driver.read_buffer.read(&stream, |bytes| codec.feed(bytes)).await, Ok(1..)) {
+        response_memory::reserve_next_read(driver, &mut connection, None).await;
+        if !matches!(connection.read(&driver.read_buffer).await, Ok(1..)) {
             return Err(ExchangeResult::NotSent);
         }
     }
@@ -201,10 +230,14 @@
 /// Reads the response and returns the result of the exchange. A response that has begun and then pauses for
 /// [`STALL_TIMEOUT`] is not waited for any longer: hosts write a response without pauses of that length, so
 /// the rest would never be received.
-async fn read_response(driver: &Driver, addr: SocketAddr, connection: &mut HostConnection) -> ExchangeResult {
-    let HostConnection { stream, codec, .. } = connection;
+async fn read_response(
+    driver: &Driver,
+    addr: SocketAddr,
+    connection: &mut HostConnection,
+    awaited: Option<AwaitedResponse>,
+) -> ExchangeResult {
     loop {
-        match codec.next_event() {
+        match connection.codec.next_event() {
             Ok(Some(HostEvent::QueryEnded(outcome, state))) => {
                 return ExchangeResult::Response(outcome, state);
             }
@@ -212,10 +245,11 @@
             Ok(None) => {}
             Err(e) => {
                 tracing::debug!(%addr, error = %e, "invalid response from a host");
-                return complete_row_or_malformed(codec);
+                return complete_row_or_malformed(&mut connection.codec);
             }
         }
-        let has_begun = codec.response_started();
+        response_memory::reserve_next_read(driver, connection, awaited).await;
+        let has_begun = connection.codec.response_started();
         let stalled = async {
             match has_begun {
                 true => drop(Timer::after(STALL_TIMEOUT).await),
@@ -223,13 +257,13 @@
             }
             None
         };
-        let read = async { Some(driver.read_buffer.read(stream, |bytes| codec.feed(bytes)).await) };
+        let read = async { Some(connection.read(&driver.read_buffer).await) };
         match future::or(read, stalled).await {
             Some(Ok(1..)) => {}
-            Some(_) => return result_at_close(codec),
+            Some(_) => return result_at_close(&mut connection.codec),
             None => {
                 tracing::debug!(%addr, "response from a host stalled for {STALL_TIMEOUT:?}");
-                return complete_row_or_malformed(codec);
+                return complete_row_or_malformed(&mut connection.codec);
             }
         }
     }
--- a/crates/router/src/transport/exchange/tests.rs
+++ b/crates/router/src/transport/exchange/tests.rs
@@ -65,15 +65,16 @@
     codec.feed(STARTUP_RESPONSE);
     assert_eq!(codec.next_event(), Ok(Some(HostEvent::Ready)));
     let descriptor = driver.descriptors.acquire_now().expect("a descriptor");
-    let connection = HostConnection { stream: Async::new(stream)?, codec, _descriptor: descriptor };
+    let memory = driver.open_response_account();
+    let connection = HostConnection { stream: Async::new(stream)?, codec, memory, _descriptor: descriptor };
     driver.pool.check_in(addr, connection);
-    let start = ExchangeStart { id, member: MemberId(0), client: None, addr, query: QUERY };
+    let start = ExchangeStart { id, member: MemberId(0), requester: None, addr, query: QUERY };
     // The host sends no response: it reads once and closes.
     let reader = std::thread::spawn(move || {
         let mut bytes = [0; 64];
         host_stream.read(&mut bytes)
     });
-    let result = async_io::block_on(executor.run(run(&driver, start)));
+    let result = async_io::block_on(executor.run(run(&driver, start))).result;
     driver.pool.close_all(addr);
     Ok(Outcome { result, received: reader.join().expect("the reader thread")? })
 }
@@ -109,13 +110,13 @@
         host_stream.write_all(STARTUP_RESPONSE)?;
         host_stream.read(&mut bytes)
     });
-    let start = ExchangeStart { id, member: MemberId(0), client: None, addr, query: QUERY };
+    let start = ExchangeStart { id, member: MemberId(0), requester: None, addr, query: QUERY };
     let release_one = async {
         Timer::after(RETRY_INTERVAL * 2).await;
         acquired.pop();
         future::pending().await
     };
-    let result = async_io::block_on(executor.run(future::or(run(&driver, start), release_one)));
+    let result = async_io::block_on(executor.run(future::or(run(&driver, start), release_one))).result;
     driver.pool.close_all(addr);
     Ok(Outcome { result, received: host_thread.join().expect("the host thread")? })
 }
--- a/crates/router/src/transport/io.rs
+++ b/crates/router/src/transport/io.rs
@@ -16,7 +16,7 @@
 /// own.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 /// The maximum number of bytes that one call reads.
-const READ_BUFFER_LEN: usize = 16 * 1024;
+pub const READ_BUFFER_LEN: usize = 16 * 1024;
 /// The maximum number of parts in one vectored write to a host.
 const MAX_WRITE_PARTS: usize = 8;
 /// Errors that are due to a lack of local resources, or to an interrupting signal.
@@ -71,8 +71,7 @@
 pub struct Received<'a> {
     /// The bytes that were read; empty at the end of the stream.
     pub bytes: &'a [u8],
-    /// Whether the read returned fewer bytes than the buffer holds, so that the socket's receive buffer is
-    /// empty now.
+    /// Whether the read returned fewer bytes than it could, so that the socket's receive buffer is empty now.
     pub drained: bool,
 }
 
@@ -86,24 +85,37 @@
 }
 
 impl ReadBuffer {
-    /// Reads once and passes the result to `feed`. Returns the number of bytes that were read.
-    pub fn read_once(&self, mut stream: &TcpStream, feed: impl FnOnce(Received<'_>)) -> io::Result<usize> {
+    /// Reads once, `max_len` bytes at most, and passes the result to `feed`. Returns the number of bytes that
+    /// were read.
+    pub fn read_once(
+        &self,
+        mut stream: &TcpStream,
+        max_len: usize,
+        feed: impl FnOnce(Received<'_>),
+    ) -> io::Result<usize> {
         let mut buffer = self.0.borrow_mut();
-        let len = stream.read(&mut buffer)?;
+        let max_len = max_len.clamp(1, buffer.len());
+        let buffer = &mut buffer[..max_len];
+        let len = stream.read(buffer)?;
         let drained = len < buffer.len();
         feed(Received { bytes: &buffer[..len], drained });
         Ok(len)
     }
 
-    /// Waits until the socket is readable, reads once and passes the bytes to `feed`. Returns the number of
-    /// bytes that were read, 0 at the end of the stream.
-    pub async fn read(&self, stream: &Async<TcpStream>, mut feed: impl FnMut(&[u8])) -> io::Result<usize> {
-        read_with(stream, |s| self.read_once(s, |received| feed(received.bytes))).await
+    /// Waits until the socket is readable, reads once, `max_len` bytes at most, and passes the bytes to
+    /// `feed`. Returns the number of bytes that were read, 0 at the end of the stream.
+    pub async fn read(
+        &self,
+        stream: &Async<TcpStream>,
+        max_len: usize,
+        mut feed: impl FnMut(&[u8]),
+    ) -> io::Result<usize> {
+        read_with(stream, |s| self.read_once(s, max_len, |received| feed(received.bytes))).await
     }
 
     /// Reads once without waiting and discards the bytes.
     pub fn discard_now(&self, stream: &Async<TcpStream>) {
-        let _ = uninterrupted(|| self.read_once(stream.get_ref(), |_| {}));
+        let _ = uninterrupted(|| self.read_once(stream.get_ref(), READ_BUFFER_LEN, |_| {}));
     }
 }
 
@@ -180,7 +192,7 @@
 ) {
     let _ = stream.get_ref().shutdown(Shutdown::Write);
     let remote_closed = async {
-        while matches!(buffer.read(stream, |_| {}).await, Ok(1..)) {
+        while matches!(buffer.read(stream, READ_BUFFER_LEN, |_| {}).await, Ok(1..)) {
             future::yield_now().await;
         }
     };
--- a/crates/router/src/transport/maintenance.rs
+++ b/crates/router/src/transport/maintenance.rs
@@ -1,6 +1,6 @@
 //! Periodic work: closing expired host connections, and logging counters.
 
-use super::client::ConnectionCounts;
+use super::client::{ConnectionCounts, MemoryCounts};
 use super::driver::Driver;
 use crate::routing::RequestCounters;
 use async_io::Timer;
@@ -21,6 +21,7 @@
         Timer::after(MAINTENANCE_INTERVAL).await;
         driver.pool.close_expired();
         log_connection_counts(driver.clients.take_connection_counts());
+        log_memory_counts(&driver);
         if counters_logged_at.elapsed() >= COUNTERS_INTERVAL {
             counters_logged_at = Instant::now();
             log_counters(&driver);
@@ -39,6 +40,19 @@
     }
 }
 
+fn log_memory_counts(driver: &Driver) {
+    let counts = driver.clients.memory_counts.take();
+    let MemoryCounts { discarded_rows, reset_readers } = counts;
+    if counts != MemoryCounts::default() {
+        tracing::warn!(
+            discarded_rows,
+            reset_readers,
+            response_memory = driver.response_memory.charged(),
+            "memory is short: rows discarded, connections of clients that don't read reset"
+        );
+    }
+}
+
 fn log_counters(driver: &Driver) {
     let counters = driver.router.borrow_mut().take_request_counters();
     log_session_counts(driver);
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -15,9 +15,12 @@
 mod io;
 mod listener;
 mod maintenance;
+mod memory_budget;
+mod memory_reclaim;
 mod notify;
 mod pool;
 mod reload;
+mod response_memory;
 mod semaphore;
 mod shutdown;
 mod snapshot_file;
@@ -103,13 +106,14 @@
     Ok(())
 }
 
-/// Spawns the background tasks: the readiness check, the timers and the periodic maintenance. They run until
-/// the shutdown has completed.
-fn spawn_background_tasks(driver: &Rc<Driver>, has_endpoints: bool) -> [Option<Task<()>>; 3] {
+/// Spawns the background tasks: the readiness check, the timers, the periodic maintenance and the reclaiming
+/// of memory. They run until the shutdown has completed.
+fn spawn_background_tasks(driver: &Rc<Driver>, has_endpoints: bool) -> [Option<Task<()>>; 4] {
     [
         driver.tasks.spawn(wait_until_ready(Rc::clone(driver), has_endpoints)),
         driver.tasks.spawn(timers::run(Rc::clone(driver))),
         driver.tasks.spawn(maintenance::run(Rc::clone(driver))),
+        driver.tasks.spawn(memory_reclaim::run(Rc::clone(driver))),
     ]
 }
 
--- a/crates/router/src/transport/pool.rs
+++ b/crates/router/src/transport/pool.rs
@@ -1,7 +1,8 @@
 //! The pool of idle connections to hosts. A connection is either in the pool or owned by the one exchange
 //! that uses it.
 
-use super::io;
+use super::io::{self, ReadBuffer};
+use super::memory_budget::MemoryAccount;
 use super::semaphore::Permit;
 use crate::protocol::host::HostCodec;
 use async_io::Async;
@@ -16,10 +17,22 @@
     pub stream: Async<TcpStream>,
     /// The protocol state of the connection.
     pub codec: HostCodec,
+    /// The memory of the response that is being received.
+    pub memory: MemoryAccount,
     /// The permit for the socket's descriptor.
     pub _descriptor: Permit,
 }
 
+impl HostConnection {
+    /// Waits until the host sends something and reads once, as much as the connection may hold. Returns the
+    /// number of bytes that were read, 0 at the end of the stream.
+    pub async fn read(&mut self, buffer: &ReadBuffer) -> std::io::Result<usize> {
+        let HostConnection { stream, codec, memory, .. } = self;
+        let max_len = memory.allowed().saturating_sub(codec.memory());
+        buffer.read(stream, max_len, |bytes| codec.feed(bytes)).await
+    }
+}
+
 struct IdleConnection {
     connection: HostConnection,
     idle_since: Instant,
@@ -28,7 +41,7 @@
 /// The result of [`HostPool::check_out`].
 pub enum Checkout {
     /// A connection that can be used now.
-    Ready(HostConnection),
+    Ready(Box<HostConnection>),
     /// All idle connections were used less than the reuse delay ago; the first can be reused after this time.
     ReusableAfter(Duration),
     /// The pool has no connection to the address.
@@ -76,7 +89,7 @@
         connections.retain(|c| self.is_usable(c));
         let reuse_delay = self.timeouts.reuse_delay;
         if let Some(index) = connections.iter().rposition(|c| c.idle_since.elapsed() >= reuse_delay) {
-            return Checkout::Ready(connections.remove(index).connection);
+            return Checkout::Ready(Box::new(connections.remove(index).connection));
         }
         match connections.first() {
             Some(first) => Checkout::ReusableAfter(reuse_delay.saturating_sub(first.idle_since.elapsed())),
--- a/crates/router/src/transport/pool/tests.rs
+++ b/crates/router/src/transport/pool/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::transport::memory_budget::MemoryBudget;
 use crate::transport::semaphore::Semaphore;
 use std::io::Write;
 use std::net::TcpListener;
@@ -22,6 +23,7 @@
             HostConnection {
                 stream: Async::new(client_stream)?,
                 codec: HostCodec::default(),
+                memory: MemoryBudget::new(0).open_account(0),
                 _descriptor: permit,
             },
             host_stream,
@@ -56,7 +58,12 @@
         let _descriptor = descriptors.acquire_now().expect("a descriptor");
         pool.check_in(
             addr,
-            HostConnection { stream: Async::new(client_stream)?, codec: HostCodec::default(), _descriptor },
+            HostConnection {
+                stream: Async::new(client_stream)?,
+                codec: HostCodec::default(),
+                memory: MemoryBudget::new(0).open_account(0),
+                _descriptor,
+            },
         );
         Ok(())
     };
--- a/crates/router/src/transport/watch.rs
+++ b/crates/router/src/transport/watch.rs
@@ -318,7 +318,9 @@
     /// Reads once, or fails at the deadline.
     async fn receive(&mut self, driver: &Driver) -> Result<(), WatchError> {
         let WatchCall { stream, codec, deadline, .. } = self;
-        let read = async { Ok(driver.read_buffer.read(stream, |bytes| codec.feed(bytes)).await?) };
+        let read = async {
+            Ok(driver.read_buffer.read(stream, io::READ_BUFFER_LEN, |bytes| codec.feed(bytes)).await?)
+        };
         // A reset or a timeout returns here: the received bytes may end with an incomplete message, which
         // must not be parsed.
         if future::or(read, time_out_at(*deadline)).await? > 0 {
--- a/crates/router/tests/pipelines.rs
+++ b/crates/router/tests/pipelines.rs
@@ -7,13 +7,13 @@
 use basalthill_standin::client::{query, startup, Client, Reply};
 use basalthill_standin::discovery::{endpoint_list, Discovery, Endpoint, ResponseMode};
 use basalthill_standin::host::{Host, Response};
-use basalthill_standin::router_process::{write_unique_file, RouterOptions, RouterProcess};
+use basalthill_standin::router_process::RouterProcess;
 use basalthill_standin::TIMEOUT;
+use common::router_process::{start_router_for, start_router_process, write_router_config, RouterLimits};
 use common::router_thread::{error_code, primary_list, unreachable_address};
 use common::{deployment_settings, statement_text, SETTINGS};
 use std::io::{Read, Write};
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -46,12 +46,9 @@
     statement_text(class, "").replace("9b1f03aa5c7e2d41", &id).replace("d=480", "d=60000")
 }
 
-fn write_config(known: &str, discovery: SocketAddr, sockets: usize, settings: &str) -> PathBuf {
-    let limits = format!(r#"{{"cores":1.0,"memory_mb":64,"sockets":{sockets}}}"#);
-    let text = format!(
-        r#"{{"seed":"1","discovery":"{discovery}","limits":{limits},"known":{known},"settings":{settings}}}"#
-    );
-    write_unique_file(Path::new(env!("CARGO_TARGET_TMPDIR")), "pipelines.json", &text).unwrap()
+/// Returns the limits of a router with this number of descriptors.
+fn limits(sockets: usize) -> RouterLimits {
+    RouterLimits { memory_mb: 64, sockets }
 }
 
 fn start_router(
@@ -61,16 +58,8 @@
     sockets: usize,
     settings: &str,
 ) -> RouterProcess {
-    let config = write_config(known, discovery, sockets, settings);
-    let program = env!("CARGO_BIN_EXE_basalthill").into();
-    RouterProcess::start(name, RouterOptions { program, config, settings: None, discovery }).unwrap()
-}
-
-/// Starts a router with one primary, which discovery also lists.
-fn start_router_for(host: &Host, sockets: usize) -> RouterProcess {
-    let known = primary_list(1, host.addr);
-    let discovery = Discovery::start(known.clone()).unwrap();
-    start_router("n1", &known, discovery.addr, sockets, SETTINGS)
+    let config = write_router_config(known, discovery, limits(sockets), settings);
+    start_router_process(name, config, discovery)
 }
 
 /// Reads the reply to command `n`. Returns the SQLSTATE if it is an error and `None` if it is the row of its
@@ -131,7 +120,7 @@
 #[test]
 fn hundreds_of_pipelined_commands_are_answered_without_delaying_other_clients() {
     let host = primary(40_000);
-    let router = start_router_for(&host, 256);
+    let router = start_router_for(&host, limits(256));
     drop(Client::connect(router.addr).unwrap());
     let (descriptors, memory) = (router.descriptors().unwrap(), router.resident_kib().unwrap());
     let is_active = Arc::new(AtomicBool::new(true));
@@ -182,7 +171,7 @@
 #[test]
 fn complete_requests_before_shutdown_are_answered_to_slow_readers() {
     let host = primary(20_000);
-    let mut router = start_router_for(&host, 256);
+    let mut router = start_router_for(&host, limits(256));
     let pipelines = [0, 1, 2, 3].map(|client_number| -> Vec<u8> {
         (0..60).flat_map(|n| query(&statement("write", client_number, n))).collect()
     });
@@ -211,7 +200,7 @@
         }
     })
     .unwrap();
-    let mut router = start_router_for(&host, 256);
+    let mut router = start_router_for(&host, limits(256));
     let commands: Vec<u8> = (0..400).flat_map(|n| query(&statement("write", 6, n))).collect();
     let mut client = Client::connect(router.addr).unwrap();
     client.stream.write_all(&commands).unwrap();
@@ -272,7 +261,7 @@
     // pipeline.
     let idle_clients: Vec<Client> =
         (0..60).filter_map(|_| Client::connect_without_startup(router.addr).ok()).collect();
-    let path = write_config(&known, new.addr, 64, SETTINGS);
+    let path = write_router_config(&known, new.addr, limits(64), SETTINGS);
     std::fs::copy(path, router.config()).unwrap();
     router.signal("HUP").unwrap();
     router.wait_for_log("discovery has moved").unwrap();
@@ -430,7 +419,8 @@
     )))
     .unwrap();
     for router in &routers {
-        std::fs::copy(write_config(&known, moved.addr, 64, &settings), router.config()).unwrap();
+        std::fs::copy(write_router_config(&known, moved.addr, limits(64), &settings), router.config())
+            .unwrap();
         router.signal("HUP").unwrap();
     }
     all_serve(&routers, "after a reload");
--- a/crates/standin/src/router_process.rs
+++ b/crates/standin/src/router_process.rs
@@ -133,8 +133,7 @@
 
     /// Returns the resident memory of the process, in KiB.
     pub fn resident_kib(&self) -> Option<u64> {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
-        status.lines().find_map(|l| l.strip_prefix("VmRSS:")?.split_whitespace().next()?.parse().ok())
+        status_field(self.child.id(), "VmRSS:")
     }
 }
 
@@ -145,6 +144,17 @@
     }
 }
 
+/// Returns the resident memory of a process without that of files, such as its program, in KiB.
+pub fn anonymous_kib(pid: u32) -> Option<u64> {
+    status_field(pid, "RssAnon:")
+}
+
+/// Returns a number in the status of a process, by the name of its line.
+fn status_field(pid: u32, name: &str) -> Option<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    status.lines().find_map(|line| line.strip_prefix(name)?.split_whitespace().next()?.parse().ok())
+}
+
 /// Starts a router process and waits until it listens. Returns the process and its address.
 fn spawn(
     name: &str,
--- a/crates/wire/src/buffer.rs
+++ b/crates/wire/src/buffer.rs
@@ -7,8 +7,8 @@
 /// Length of the length field, in bytes. Its value counts itself and the body.
 const LENGTH_FIELD_LEN: usize = 4;
 /// Upper limit of the memory that an empty buffer keeps allocated, in bytes. A buffer that is not empty frees
-/// consumed bytes only once there are this many, since the bytes after them have to be moved.
-const RETAINED_CAPACITY: usize = 4096;
+/// consumed bytes only once there are this many and at least as many as others, since those have to be moved.
+const RETAINED_CAPACITY: usize = 1024;
 
 /// The header of a message that has been received completely.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,20 +28,24 @@
 }
 
 impl MessageBuffer {
-    /// Appends received bytes. Consumed bytes are removed first if there are at least `RETAINED_CAPACITY` of
-    /// them, or no others.
+    /// Appends received bytes.
     pub fn extend(&mut self, bytes: &[u8]) {
-        let all_consumed = self.consumed == self.bytes.len();
-        if self.consumed > 0 && (all_consumed || self.consumed >= RETAINED_CAPACITY) {
-            self.bytes.drain(..self.consumed);
-            self.consumed = 0;
-        }
         // Allocates only what is needed, since doubling the capacity would cost much memory when many clients
         // send long statements at the same time.
         self.bytes.reserve_exact(bytes.len());
         self.bytes.extend_from_slice(bytes);
     }
 
+    /// Allocates memory for `len` further bytes, which are about to be received.
+    pub fn reserve(&mut self, len: usize) {
+        self.bytes.reserve_exact(len);
+    }
+
+    /// Returns the number of bytes that are allocated.
+    pub fn capacity(&self) -> usize {
+        self.bytes.capacity()
+    }
+
     /// Returns the number of bytes that are not consumed.
     pub fn len(&self) -> usize {
         self.bytes.len() - self.consumed
@@ -57,17 +61,30 @@
         &self.bytes[self.consumed..]
     }
 
-    /// Marks the next `len` bytes as consumed. Once all bytes are consumed, memory above `RETAINED_CAPACITY`
-    /// is freed.
+    /// Marks the next `len` bytes as consumed. Their memory is freed once they are at least half of the bytes
+    /// and more than `RETAINED_CAPACITY`, or no others are left.
     pub fn consume(&mut self, len: usize) {
         self.consumed = (self.consumed + len).min(self.bytes.len());
-        if self.consumed == self.bytes.len() {
-            self.bytes.clear();
+        let all_consumed = self.consumed == self.bytes.len();
+        if all_consumed || (self.consumed > RETAINED_CAPACITY && self.consumed >= self.len()) {
+            self.bytes.drain(..self.consumed);
             self.bytes.shrink_to(RETAINED_CAPACITY);
             self.consumed = 0;
         }
     }
 
+    /// Returns the number of bytes that are missing from the next message, or from its header. The header is
+    /// not checked.
+    pub fn missing_bytes(&self) -> usize {
+        let unread = self.unread();
+        let message_len = match unread.first_chunk::<HEADER_LEN>() {
+            // The length field does not count the type byte.
+            Some(&[_kind, a, b, c, d]) => 1 + u32::from_be_bytes([a, b, c, d]) as usize,
+            None => HEADER_LEN,
+        };
+        message_len.saturating_sub(unread.len())
+    }
+
     /// Returns the header of the next message, or `None` if the message has not been received completely.
     ///
     /// # Errors
