Limit the log positions in a statement; test the codec's memory

Cause: the router keeps a range of 16 bytes for each `after` of a statement, and a part of the rewritten text while it is written. A statement of 160 KiB can hold some 20,000, several times its bytes, which the budget for requests did not count.

Change: more than 64 are rejected with 22023, as more than eight tokens are. The client codec's memory for short messages, and its discarded messages, have tests of their own.

--- a/crates/router/src/protocol/statement/mod.rs
+++ b/crates/router/src/protocol/statement/mod.rs
@@ -20,6 +20,10 @@
 /// The maximum number of session tokens in a statement; a statement with more is rejected.
 pub const MAX_TOKENS: usize = 8;
 
+/// The maximum number of log positions (`after`) in a statement; a statement with more is rejected. The
+/// router stores a range for each.
+pub const MAX_POSITIONS: usize = 64;
+
 /// The longest client timeout in milliseconds: one day. A longer one is reduced to this.
 const MAX_DEADLINE_MS: u64 = 86_400_000;
 
--- a/crates/router/src/protocol/statement/parser.rs
+++ b/crates/router/src/protocol/statement/parser.rs
@@ -1,6 +1,6 @@
 //! The parser of statements and their comments. It returns ranges of the text.
 
-use super::{invalid_parameter, syntax_error, StatementError, Verb, MAX_TOKENS};
+use super::{invalid_parameter, syntax_error, StatementError, Verb, MAX_POSITIONS, MAX_TOKENS};
 use std::ops::Range;
 
 /// Parses a statement from left to right.
@@ -152,6 +152,9 @@
                     u32::try_from(number).map_err(|_| invalid_parameter("cluster is out of range"))?;
                 self.group = Some(group);
             }
+            b"after" if self.min_positions.len() == MAX_POSITIONS => {
+                return Err(invalid_parameter("too many positions"));
+            }
             b"after" => self.min_positions.push(number_field(text, value, "after")?),
             b"session" => self.session = Some(value),
             b"token" if self.tokens.len() == MAX_TOKENS => return Err(invalid_parameter("too many tokens")),
--- a/crates/router/tests/codec.rs
+++ b/crates/router/tests/codec.rs
@@ -4,7 +4,7 @@
 use basalthill_router::protocol::client::{ClientCodec, ClientMessage, ReceivedMessage, MAX_MESSAGE_LEN};
 use basalthill_router::protocol::discovery::{HostList, HostState, WatchCodec, WatchMessage};
 use basalthill_router::protocol::host::{parse_load_report, HostCodec, HostEvent, QueryOutcome};
-use basalthill_router::protocol::statement::{Statement, Verb};
+use basalthill_router::protocol::statement::{Statement, Verb, MAX_POSITIONS};
 use basalthill_standin::client::{query, startup};
 use basalthill_standin::host::row;
 use proptest::prelude::*;
@@ -367,12 +367,46 @@
         ("22023", READ.replace("c=basket,", "")),
         ("22023", READ.replace("id=9b1f03aa5c7e2d41,", "")),
         ("22023", READ.replace("after=1767225600123", "after=yesterday")),
+        ("22023", READ.replace("after=1", &("after=1,".repeat(MAX_POSITIONS) + "after=1"))),
     ];
     for (code, text) in cases {
         assert_eq!(Statement::parse(text.clone().into()).map_err(|e| e.code).err(), Some(code), "{text}");
     }
 }
 
+/// Guards against messages that take far more memory than they have bytes.
+#[test]
+fn short_messages_take_little_more_memory_than_their_bytes() {
+    let mut codec = ClientCodec::default();
+    codec.feed(&startup(), Time(0));
+    let messages = message(b'S', b"").repeat(2000);
+    for (n, piece) in messages.chunks(1000).enumerate() {
+        codec.feed(piece, Time(n as u64));
+    }
+    assert!(codec.memory() < 2 * messages.len(), "{} bytes for {}", codec.memory(), messages.len());
+    while codec.next_message().unwrap().is_some() {}
+    assert!(codec.memory() < messages.len() / 2, "{} bytes are kept", codec.memory());
+}
+
+#[test]
+fn a_discarded_query_keeps_its_place_and_its_arrival_time() {
+    let mut codec = ClientCodec::default();
+    codec.feed(&startup(), Time(0));
+    assert!(matches!(codec.next_message(), Ok(Some(_))));
+    let large = query(&READ.replace("7f3a", &"7".repeat(50_000)));
+    codec.feed(&large[..20_000], Time(1));
+    assert!(codec.discard_message() && codec.memory() < 2048, "{} bytes are kept", codec.memory());
+    assert_eq!((codec.partial_bytes(), codec.missing_bytes()), (20_000, large.len() - 20_000));
+    codec.feed(&large[20_000..40_000], Time(2));
+    assert!(codec.next_message().unwrap().is_none() && !codec.discard_message());
+    codec.feed(&[&large[40_000..], &query(READ)].concat(), Time(3));
+    let discarded = ReceivedMessage { message: ClientMessage::DiscardedQuery, arrived_at: Time(3) };
+    assert_eq!(codec.next_message(), Ok(Some(discarded)));
+    let next = ReceivedMessage { message: ClientMessage::Query(READ.into()), arrived_at: Time(3) };
+    assert_eq!(codec.next_message(), Ok(Some(next)));
+    assert_eq!((codec.queued_bytes(), codec.partial_bytes()), (0, 0));
+}
+
 #[test]
 fn over_long_messages_are_rejected_before_they_are_buffered() {
     let mut codec = ClientCodec::default();
