--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,9 +1,8 @@
-"""Case 7: a bounded read is written to a replica after its data has become too old, because the connection came up
-late. See claim.txt."""
+"""Case 7: a keyed write that has run is refused, and the project's client has it run again after its group has
+forgotten the key. See claim.txt."""
 
 import asyncio
 import os
-import random
 import sys
 import time
 
@@ -11,135 +10,117 @@
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "common-2"))
 import rig  # noqa: E402
 
-BOUND_MS = 3000
-SLACK_MS = 50  # every time limit on sockets is longer by 50 ms
-READS_PER_S = 75
-WRITES_PER_S = 5
-GROUPS = 3
-REPLICAS = 5  # of each group
-SHIP_MS = 10
-EPISODES = [(5.0, 16.0), (37.0, 48.0), (69.0, 80.0)]  # seconds in which replicas apply the log more slowly
-BUSY = 0.58  # share of the time in which a replica applies the log, at full load
-SLOWER = 15  # times
-LATE_SHARE = 1 / 3  # of the connections to database hosts
-LATE_S = 0.22  # how late they come up
-IDLE_CLOSE_S = 0.1  # idle connections are closed early
-DAY_S = 90.0
+WINDOW_S = 1.2  # how long the group drops a repeat, from its first run
+DEADLINE_S = 3.0
+WRITES = 10
+RESETS_S = 0.3  # for this long the primary's connections are reset under the writes that it has begun
+RESET_AFTER_S = 0.008
+PAUSE_S = 3.5  # between two writes
+WORK_S = 0.005
 
 CLASSES = [
-    {"name": "calendar-view", "read": "lag_bound", "bound": 3, "aim": 0.3, "deadline": 0.75,
-     "effect": "idempotent", "late": 0.2},
-    {"name": "plan-write", "read": "mutate", "aim": 0.6, "deadline": 2, "effect": "deduplicated",
-     "scope": "cell", "window": 2, "worth": 3, "late": 0.5},
+    {"name": "map-view", "read": "lag_bound", "bound": 3, "aim": 0.5, "deadline": 1.5, "effect": "idempotent"},
+    {"name": "log-write", "read": "mutate", "aim": 0.4, "deadline": DEADLINE_S, "effect": "deduplicated",
+     "scope": "all", "window": WINDOW_S, "worth": 4, "late": 0.3},
 ]
 
 
-class ReplicationLog:
-    """The position of the replicas: one common lag, which grows while they apply the log more slowly."""
+class ResettingHost(rig.Host):
+    """A database host that can reset the connection of a write that it has begun."""
 
-    def __init__(self, started, trouble):
-        self.started = started
-        self.trouble = trouble
-        self.at = time.time()
-        self.lag_s = SHIP_MS / 1000
-
-    def position_ms(self):
-        now = time.time()
-        elapsed, self.at = now - self.at, now
-        since_start = now - self.started
-        slow = self.trouble and any(begin <= since_start < end for begin, end in EPISODES)
-        rate = 1 / (BUSY * SLOWER) if slow else 1 / BUSY
-        self.lag_s = max(SHIP_MS / 1000, self.lag_s + elapsed * (1 - rate))
-        return (now - self.lag_s) * 1000
+    async def answer(self, text, reader, writer, number):
+        self.writer = writer
+        return await super().answer(text, reader, writer, number)
 
 
 async def case(record, trouble):
-    rng = random.Random(6)
+    runs = {}  # key -> times at which the group has run it
+    resets_until = [0.0]
     broken = []
-    counts = {}
-    log = ReplicationLog(time.time(), trouble)
 
     async def serve(host, statement, connection):
-        received_ms = rig.now_ms()
-        is_primary = host.name.startswith("primary")
-        position = received_ms if is_primary else log.position_ms()
-        age_ms = received_ms - position
-        record.line(f"{host.name} connection {connection} gets {statement.id} {statement.name}, "
-                    f"data {age_ms:.0f} ms old, told d={statement.fields.get('d')}")
-        await asyncio.sleep(rng.uniform(0.057, 0.098))
+        is_primary = host.name == "primary"
+        rank = "source" if is_primary else "copy"
         if statement.is_write and not is_primary:
-            return rig.Reply(error="25006", rank="copy", as_of=log.position_ms())
-        if not is_primary and age_ms > BOUND_MS + SLACK_MS:
-            # The data may have advanced while the read ran; what was answered counts.
-            answered_age_ms = received_ms - log.position_ms()
-            if answered_age_ms > BOUND_MS + SLACK_MS:
-                served_stale[statement.id] = (host.name, answered_age_ms)
-        if is_primary:
-            return rig.Reply(value=b"v", rank="source", as_of=rig.now_ms())
-        return rig.Reply(value=b"v", rank="copy", as_of=log.position_ms())
-
-    served_stale = {}
-    hosts = []
-    for group in range(1, GROUPS + 1):
-        hosts.append(rig.Host(f"primary-{group}", group, record, serve))
-        hosts += [rig.Host(f"replica-{group}-{n}", group, record, serve) for n in range(1, REPLICAS + 1)]
+            return rig.Reply(error="25006", rank=rank, as_of=rig.now_ms() - 10)
+        writer = host.writer
+        if statement.is_write:
+            now = time.monotonic()
+            key = statement.text.split("VALUES ('")[1].split("'")[0]
+            known = runs.setdefault(key, [])
+            if known and now - known[-1] < WINDOW_S:
+                record.line(f"the group drops a repeat of {key} ({statement.id}), "
+                            f"{(now - known[-1]) * 1000:.0f} ms after its run")
+            else:
+                record.line(f"the group runs {key} ({statement.id}), run number {len(known) + 1}")
+                known.append(now)
+            if now < resets_until[0]:
+                await asyncio.sleep(RESET_AFTER_S)
+                rig.abort(writer)
+                return None
+        await asyncio.sleep(WORK_S)
+        as_of = rig.now_ms() + 1 if statement.is_write else rig.now_ms() - (0 if is_primary else 10)
+        return rig.Reply(value=b"ok", rank=rank, as_of=as_of)
+
+    hosts = [ResettingHost(name, 1, record, serve) for name in ("primary", "replica-1", "replica-2")]
     discovery = rig.Discovery(record)
     for host in hosts:
-        is_primary = host.name.startswith("primary")
-        host.idle_close_s = IDLE_CLOSE_S if trouble else None
-        host.connect_delay = lambda: LATE_S if trouble and rng.random() < LATE_SHARE else 0.0
-        host.vitals = lambda is_primary=is_primary: "x0=%.6f,x1=%d" % (
-            (rig.now_ms() if is_primary else log.position_ms()) / 1000, is_primary)
+        is_primary = host.name == "primary"
+        host.vitals = lambda is_primary=is_primary: "x0=%.6f,x1=%d" % (rig.now_ms() / 1000 - 0.01, is_primary)
         await host.start()
         discovery.add(host, rank="source" if is_primary else "copy")
     await discovery.start()
-    settings = rig.settings(CLASSES, familyInfo__roleListed="static", reporting__via="probe",
-                            bounds__parallelTries=True, bounds__connIdle=rig.ns(30),
-                            balancers=4)
+    settings = rig.settings(CLASSES, familyInfo__whenBehind="await", familyInfo__patience=rig.ns(0.1),
+                            bounds__parallelTries=True, bounds__maxAttempts=10)
     router = rig.Router("n1", discovery.addr, settings, discovery.full(), record)
-    client = rig.Client(router.listen)
-
-    async def ask(number, is_write):
-        name = "plan-write" if is_write else "calendar-view"
-        request_id = f"{number:08x}{rng.getrandbits(32):08x}"
-        deadline_ms = 2000 if is_write else 750
-        group = rng.randint(1, GROUPS)
-        if is_write:
-            text = rig.insert(f"k{number}", "00ff", request_id, name, deadline_ms, group)
-        else:
-            text = rig.select(f"k{number % 50}", request_id, name, deadline_ms, group)
-        record.line(f"client sends {request_id} {name}")
-        try:
-            answer = await client.ask(text, deadline_ms / 1000 + 0.55)
-        except OSError as error:
-            answer = rig.Answer(f"no connection: {error}")
-        counts[answer.kind] = counts.get(answer.kind, 0) + 1
-        record.line(f"client gets {request_id} {answer.kind} {answer.code}")
-        if answer.kind == "served" and request_id in served_stale:
-            name, age_ms = served_stale[request_id]
-            broken.append(f"stale: {request_id} was sent to {name} and answered from data {age_ms:.0f} ms old "
-                          f"(bound {BOUND_MS} ms, slack {SLACK_MS} ms)")
+    program = os.path.join(rig.ROOT, "target", "release", "basalthill")
+
+    async def write(key):
+        arguments = ["query", "--router", router.listen, "--class", "log-write", "--group", "1", "--tenant", "demo",
+                     "--keyed-ms", str(int(WINDOW_S * 1000)), "--within-ms", str(int(DEADLINE_S * 1000)), key, "v"]
+        record.line(f"the client starts: basalthill {' '.join(arguments)}")
+        process = await asyncio.create_subprocess_exec(
+            program, *arguments, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
+        out, err = await process.communicate()
+        record.line(f"the client of {key} ends with {process.returncode}: {out.decode().strip()}; "
+                    f"{err.decode().strip()}")
+        if process.returncode not in (0, 1, 3):
+            raise rig.CouldNotRun(f"the client ended with {process.returncode}")
+
+    async def background():
+        """Writes of other clients, one after another."""
+        client = rig.Client(router.listen)
+        number = 0
+        while True:
+            number += 1
+            await client.ask(rig.insert(f"other-{number}", "00", f"{number:016x}", "log-write", 1000), 1.6)
+            await asyncio.sleep(0.05)
 
     try:
         router.start()
         await router.ready()
-        log.started = time.time()
-        started = time.monotonic()
-        tasks = []
-        number = 0
-        while time.monotonic() - started < DAY_S:
-            number += 1
-            is_write = rng.random() < WRITES_PER_S / (READS_PER_S + WRITES_PER_S)
-            tasks.append(asyncio.ensure_future(ask(number, is_write)))
-            await asyncio.sleep(rng.expovariate(READS_PER_S + WRITES_PER_S))
-        await asyncio.gather(*tasks)
+        others = asyncio.ensure_future(background())
+        await asyncio.sleep(1)
+        writes = []
+        for number in range(WRITES):
+            if trouble:
+                resets_until[0] = time.monotonic() + RESETS_S
+            writes.append(asyncio.ensure_future(write(f"key-{number}")))
+            await asyncio.sleep(PAUSE_S)
+        await asyncio.gather(*writes)
+        others.cancel()
         if router.has_crashed():
             broken.append("crash: the router has ended")
-        record.line(f"answers: {counts}")
-        print("answers:", counts)
+        own = {key: times for key, times in runs.items() if key.startswith("key-")}
+        if not own:
+            raise rig.CouldNotRun("no write reached the group")
+        for key, times in own.items():
+            if len(times) > 1:
+                broken.append(f"run twice: {key}, the second time {(times[1] - times[0]) * 1000:.0f} ms after the "
+                              f"first (the group remembers it for {WINDOW_S * 1000:.0f} ms)")
+        print(f"{len(own)} writes")
         return broken
     finally:
-        client.close()
         router.end()
 
 
