--- a/review/7/case.py
+++ b/review/7/case.py
@@ -81,7 +81,11 @@
         record.line(f"the client starts: basalthill {' '.join(arguments)}")
         process = await asyncio.create_subprocess_exec(
             program, *arguments, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
-        out, err = await process.communicate()
+        try:
+            out, err = await process.communicate()
+        finally:
+            if process.returncode is None:
+                process.kill()
         record.line(f"the client of {key} ends with {process.returncode}: {out.decode().strip()}; "
                     f"{err.decode().strip()}")
         if process.returncode not in (0, 1, 3):
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -20,7 +20,7 @@
 BUSY, SLOWER = 0.58, 15  # the replicas apply the log 15 times more slowly, from the start on
 SHIP_S = 0.01
 WRITE_AT_S, LEAVE_AFTER_S, COMMIT_AFTER_S, READ_AFTER_S = 2.0, 0.03, 0.06, 0.3
-END_S = 6.0
+END_S = 11.0
 STEP_S = 0.005
 OK = 100
 
