A request that has run is rejected only as the policy's rule allows, rows discarded too

Cause: while memory for responses is short, a row is discarded, and Router::deliver_outcome replied itself: rejected, unless the statement was an INSERT. It looked at the verb, not at the class's effect, and passed by reject_or_fail. A keyed read would have been refused as well, and an idempotent write failed.

Change: a discarded row ends its attempt as Status::Discarded, which proves that the request ran. The policy decides how the request ends: reject_or_fail, now in policy/rejection.rs, is the only place that rejects a request after an attempt.

The new test of routing failed before: "at_most_once", view: Rejected.

--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -309,6 +309,8 @@
 pub enum Status {
     /// The member served it.
     Ok,
+    /// The member served it, but the router had no memory for the response and discarded it.
+    Discarded,
     /// The member rejected it without executing it, because it is not the primary or is too far behind.
     Misdirected,
     /// The member responded with an error.
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -19,6 +19,7 @@
 mod pending_request;
 mod primary_search;
 mod queue;
+mod rejection;
 mod replication;
 mod selection;
 mod slow_start;
--- a/crates/policy/src/policy/connections.rs
+++ b/crates/policy/src/policy/connections.rs
@@ -48,7 +48,7 @@
         if member.in_flight == 0 && in_shortage {
             out.push(Action::CloseIdle(outcome.member));
         }
-        if matches!(outcome.status, Status::Ok | Status::Misdirected) {
+        if matches!(outcome.status, Status::Ok | Status::Discarded | Status::Misdirected) {
             self.detect_connection_shortage(outcome.member, out);
         }
     }
--- a/crates/policy/src/policy/outcomes.rs
+++ b/crates/policy/src/policy/outcomes.rs
@@ -27,6 +27,9 @@
         self.track_connections(&outcome, out);
         if outcome.request_completed {
             self.remove_request(outcome.request, out);
+        } else if outcome.status == Status::Discarded {
+            // A further attempt would need the memory that is short.
+            self.reject_or_fail(outcome.request, out);
         } else if self.requests.contains_key(&outcome.request) {
             self.place(outcome.request, out);
         }
@@ -67,7 +70,7 @@
         let sent_at = now.minus(outcome.elapsed);
         let Some(member) = self.members.get_mut(outcome.member) else { return };
         match outcome.status {
-            Status::Ok | Status::Misdirected | Status::Overloaded => {
+            Status::Ok | Status::Discarded | Status::Misdirected | Status::Overloaded => {
                 member.record_contact(now, EjectReason::Unresponsive);
                 member.responded_at = now;
             }
@@ -81,7 +84,7 @@
 
     fn record_failure_rate(&mut self, outcome: &Outcome) {
         let failed = match outcome.status {
-            Status::Ok => 0.0,
+            Status::Ok | Status::Discarded => 0.0,
             Status::Error | Status::ConnectFailed | Status::Reset => 1.0,
             _ => return,
         };
@@ -121,5 +124,6 @@
 
 /// Returns whether the member responded, so that the outcome's replication state was reported by it.
 fn has_response(status: Status) -> bool {
-    matches!(status, Status::Ok | Status::Misdirected | Status::Error | Status::Overloaded)
+    use Status::{Discarded, Error, Misdirected, Ok, Overloaded};
+    matches!(status, Ok | Discarded | Misdirected | Error | Overloaded)
 }
--- a/crates/policy/tests/retries.rs
+++ b/crates/policy/tests/retries.rs
@@ -121,3 +121,26 @@
         );
     }
 }
+
+/// Guards against a rejection of a request that a member has executed and that must not be executed again,
+/// and against a retry of a request whose response there is no memory for.
+#[test]
+fn a_request_whose_response_was_discarded_ends_at_once_and_is_rejected_only_if_idempotent() {
+    for class in [EVENTUAL, BOUNDED, SESSION, STRONG, NON_IDEMPOTENT, IDEMPOTENT_BY_KEY, REPORT] {
+        for effect in [Effect::Idempotent, Effect::NonIdempotent, Effect::IdempotentByKey] {
+            let mut settings = test_settings();
+            settings.classes[usize::from(class.0)].effect = effect;
+            let mut router = TestRouter::new(settings);
+            let id = router.request(class, 0);
+            router.finish_attempt(id, Status::Discarded, 20, 0, Role::Primary);
+            router.advance(1000);
+            let is_idempotent = effect == Effect::Idempotent;
+            assert_eq!(
+                (router.is_rejected(id), router.is_failed(id)),
+                (is_idempotent, !is_idempotent),
+                "{class:?}, {effect:?}"
+            );
+            assert_eq!(router.attempts[&id].len(), 1, "{class:?}, {effect:?}");
+        }
+    }
+}
--- a/crates/router/src/routing/attempts.rs
+++ b/crates/router/src/routing/attempts.rs
@@ -7,7 +7,6 @@
 use super::outcomes::{
     attempt_status, is_statement_error, replication_from_load_report, reported_replication,
 };
-use super::request_table::OpenRequest;
 use super::requests::InvalidRequest;
 use super::system_clock::time_from_unix_ms;
 use super::timers::Timer;
@@ -133,8 +132,7 @@
     }
 
     /// Replies to the client if the host's response completes the request, that is, if it is a row or an
-    /// error in the statement itself. If the row was discarded, a read is rejected: it has no effect, so its
-    /// client may safely retry it. A write has run and is answered as failed.
+    /// error in the statement itself. After any other response, the policy decides how the request goes on.
     fn deliver_outcome(
         &mut self,
         now: Time,
@@ -152,9 +150,6 @@
             QueryOutcome::RowDiscarded => {
                 let position = reported.position_ms.map(time_from_unix_ms);
                 self.record_served(now, id, position, out);
-                let is_write = self.requests.get(id).is_some_and(OpenRequest::is_write);
-                let reply = if is_write { Reply::Failed } else { Reply::Rejected { retry_after_ms: None } };
-                self.reply_to_client(now, id, reply, out);
             }
             QueryOutcome::Error(code) if is_statement_error(&code) => {
                 let error = InvalidRequest::RejectedByHost.into();
--- a/crates/router/src/routing/counters.rs
+++ b/crates/router/src/routing/counters.rs
@@ -26,8 +26,9 @@
 }
 
 /// The statuses of attempts and their names in the log.
-const STATUS_NAMES: [(Status, &str); 9] = [
+const STATUS_NAMES: [(Status, &str); 10] = [
     (Status::Ok, "ok"),
+    (Status::Discarded, "discarded"),
     (Status::Misdirected, "misdirected"),
     (Status::Error, "error"),
     (Status::Overloaded, "overloaded"),
--- a/crates/router/src/routing/outcomes.rs
+++ b/crates/router/src/routing/outcomes.rs
@@ -27,7 +27,8 @@
 /// Returns the status of an attempt, given the result of its exchange.
 pub fn attempt_status(result: &ExchangeResult) -> Status {
     match result {
-        ExchangeResult::Response(QueryOutcome::Row(_) | QueryOutcome::RowDiscarded, _) => Status::Ok,
+        ExchangeResult::Response(QueryOutcome::Row(_), _) => Status::Ok,
+        ExchangeResult::Response(QueryOutcome::RowDiscarded, _) => Status::Discarded,
         ExchangeResult::Response(QueryOutcome::Error(code), _) => status_for_sqlstate(code),
         ExchangeResult::Response(QueryOutcome::Empty, _) => Status::Error,
         ExchangeResult::ConnectionRejected(code) if code == TOO_MANY_CONNECTIONS => Status::Overloaded,
--- a/crates/router/src/routing/request_table.rs
+++ b/crates/router/src/routing/request_table.rs
@@ -4,7 +4,7 @@
 
 use super::exchanges::InFlightExchange;
 use super::input::{ClientId, CommandId};
-use crate::protocol::statement::{Statement, Verb};
+use crate::protocol::statement::Statement;
 use basalthill_policy::api::{Attempt, GroupId, RequestId, Time};
 use basalthill_session::TrackedRequest;
 use std::collections::{BTreeMap, BTreeSet};
@@ -40,11 +40,6 @@
         Attempt(self.attempts.len() as u16)
     }
 
-    /// Returns whether its statement is a write.
-    pub fn is_write(&self) -> bool {
-        self.statement.verb == Verb::Insert
-    }
-
     /// Returns whether an attempt is in flight.
     pub fn has_attempt_in_flight(&self) -> bool {
         self.attempts.iter().any(Option::is_some)
--- a/crates/router/tests/routing/attempts.rs
+++ b/crates/router/tests/routing/attempts.rs
@@ -1,6 +1,8 @@
 //! Tests of attempts: each way in which an attempt can end, and its consequences.
 
+use crate::common::SETTINGS;
 use crate::harness::*;
+use basalthill_config::settings::{read, Deployment};
 use basalthill_policy::api::Status;
 use basalthill_router::protocol::host::{QueryOutcome, ReportedState};
 use basalthill_router::routing::{ClientId, ExchangeResult, Input, Reply};
@@ -59,6 +61,7 @@
 fn every_exchange_result_maps_to_its_attempt_status() {
     let cases = [
         (row_response(b"x"), Status::Ok),
+        (discarded_row(), Status::Discarded),
         (error_response("25006"), Status::Misdirected),
         (error_response("72000"), Status::Misdirected),
         (error_response("53300"), Status::Overloaded),
@@ -119,3 +122,46 @@
         harness.start_attempt(9, "write");
     }
 }
+
+/// The effects that settings can give to a class, and whether a request of the class may be rejected after it
+/// has run.
+const EFFECTS: [(&str, bool); 5] = [
+    ("\"at_most_once\"", false),
+    ("\"idempotent\"", true),
+    ("\"deduplicated\", \"keyScope\": \"cell\", \"window\": 60000000000", false),
+    ("\"deduplicated\", \"keyScope\": \"zone\", \"window\": 60000000000", false),
+    ("\"deduplicated\", \"keyScope\": \"all\", \"window\": 1000000000", false),
+];
+
+/// Returns the settings of the stand-ins with this effect for each class.
+fn deployment_with_effect(effect: &str) -> Deployment {
+    let settings = SETTINGS.replace("\"idempotent\"", effect).replace("\"at_most_once\"", effect);
+    read(settings.as_bytes()).expect("invalid settings")
+}
+
+/// Returns a response whose row has been discarded for lack of memory.
+fn discarded_row() -> ExchangeResult {
+    ExchangeResult::Response(QueryOutcome::RowDiscarded, ReportedState::default())
+}
+
+/// Guards against a rejection of a request that has run and must not run again: its client would repeat it.
+#[test]
+fn request_that_ran_and_whose_row_was_discarded_is_rejected_only_if_it_may_run_again() {
+    for (effect, may_run_again) in EFFECTS {
+        for class in ["view", "own", "status", "report", "write"] {
+            let mut harness = RouterHarness::ready_with(deployment_with_effect(effect));
+            let id = harness.start_attempt(1, class).id;
+            let mut effects = harness.finish(id, discarded_row());
+            effects.extend(harness.advance_ms(1000));
+            let replies = client_replies(&effects);
+            let is_expected = match replies[..] {
+                [(1, Reply::Rejected { .. })] => may_run_again,
+                [(1, Reply::Failed)] => !may_run_again,
+                _ => false,
+            };
+            assert!(is_expected, "{effect}, {class}: {replies:?}");
+            assert!(started_attempts(&effects).is_empty(), "{effect}, {class}: {effects:?}");
+            harness.assert_no_open_request();
+        }
+    }
+}
--- a/crates/router/tests/routing/harness.rs
+++ b/crates/router/tests/routing/harness.rs
@@ -1,6 +1,7 @@
 //! A router under a simulated clock, and helpers to examine its effects.
 
 use crate::common::{deployment_settings, sessions, statement};
+use basalthill_config::settings::Deployment;
 use basalthill_policy::api::Time;
 use basalthill_router::protocol::discovery::HostList;
 use basalthill_router::protocol::host::{QueryOutcome, ReportedState, Row};
@@ -60,14 +61,24 @@
 impl RouterHarness {
     /// Starts a router with an endpoint list or without one. Also returns its first effects.
     pub fn start(list: Option<HostList>) -> (RouterHarness, Vec<Effect>) {
+        RouterHarness::start_with(deployment_settings(), list)
+    }
+
+    fn start_with(deployment: Deployment, list: Option<HostList>) -> (RouterHarness, Vec<Effect>) {
         let mut effects = Vec::new();
-        let router = Router::new(START, deployment_settings(), sessions(), SEED, list, &mut effects);
+        let router = Router::new(START, deployment, sessions(), SEED, list, &mut effects);
         (RouterHarness { router, now: START }, effects)
     }
 
     /// Starts a router and serves its first health checks, so that its policy has identified the primary.
     pub fn ready() -> RouterHarness {
-        let (mut harness, effects) = RouterHarness::start(Some(list(1, true, &both_members("active"))));
+        RouterHarness::ready_with(deployment_settings())
+    }
+
+    /// Like [`RouterHarness::ready`], with these settings.
+    pub fn ready_with(deployment: Deployment) -> RouterHarness {
+        let endpoints = list(1, true, &both_members("active"));
+        let (mut harness, effects) = RouterHarness::start_with(deployment, Some(endpoints));
         for exchange in started_exchanges(&effects) {
             let query = &exchange.query;
             assert!(matches!(query, Query::HealthCheck("SHOW vitals")), "{query:?}");
