A keyed request that may have run is not rejected; the client ends its repeats with the window

Cause: the router's rule left room for a client that comes back after exactly the told time; the client library comes up to half of it later, took a rejection as a proof that nothing had run, and so did not apply the window that its caller had named.

A rejection depends on no time: a request that may have run is rejected only if it is idempotent, otherwise it fails. The client library sends a keyed request only within the window from the first attempt that a router may have forwarded, also after rejections, which routers of earlier releases may have sent for requests that had run.

A test was wrong and is replaced: a_request_with_a_key_is_rejected_only_ if_its_client_can_retry_within_the_window asked for a rejection with 0.3 s of room. The new one asks that there is none, over three scopes, five windows and four statuses. The model's check of rejections in rules.rs no longer allows them for keyed requests.

--- a/crates/client/src/core/requests.rs
+++ b/crates/client/src/core/requests.rs
@@ -175,30 +175,37 @@
         self.by_id.get_mut(&id)?.connection.take()
     }
 
-    /// Records the outcome of a request's latest attempt. If the attempt may have run and the request has an
-    /// idempotency key, the request's deadline is limited to the end of the key's window, since hosts drop
-    /// repeats only within the window. Each statement carries the remaining time, so routers and hosts
-    /// observe the same limit.
+    /// Records the outcome of a request's latest attempt. If the request has an idempotency key and a router
+    /// may have forwarded the attempt, the request's deadline is limited to the end of the key's window.
     pub(super) fn end_attempt(&mut self, now: Instant, id: RequestId, outcome: AttemptOutcome) {
         let Some(pending) = self.by_id.get_mut(&id) else { return };
         pending.connection = None;
         let Some(attempt) = pending.attempts.last_mut() else { return };
         attempt.elapsed = now.saturating_duration_since(attempt.started_at);
+        let started_at = attempt.started_at;
+        let was_forwarded = outcome.may_have_been_forwarded();
         let is_uncertain = !outcome.proves_not_run() && outcome != AttemptOutcome::Served;
         attempt.outcome = outcome;
-        if !is_uncertain || pending.uncertain_since.is_some() {
-            return;
+        if is_uncertain {
+            pending.uncertain_since.get_or_insert(started_at);
         }
-        let started_at = attempt.started_at;
-        pending.uncertain_since = Some(started_at);
-        if let Idempotency::Keyed(window) = pending.request.idempotency {
-            let deadline = &mut pending.request.deadline;
-            self.deadlines.remove(&RequestTime { at: *deadline, request: id });
-            *deadline = (*deadline).min(started_at + window);
-            self.deadlines.insert(RequestTime { at: *deadline, request: id });
+        if was_forwarded {
+            self.limit_to_window(id, started_at);
         }
     }
 
+    /// Limits the deadline of a request with an idempotency key to the end of the key's window, which starts
+    /// with the first attempt that a router may have forwarded: hosts drop repeats only within the window.
+    /// Each statement carries the remaining time, so routers and hosts observe the same limit.
+    fn limit_to_window(&mut self, id: RequestId, attempt_started_at: Instant) {
+        let Some(pending) = self.by_id.get_mut(&id) else { return };
+        let Idempotency::Keyed(window) = pending.request.idempotency else { return };
+        let deadline = &mut pending.request.deadline;
+        self.deadlines.remove(&RequestTime { at: *deadline, request: id });
+        *deadline = (*deadline).min(attempt_started_at + window);
+        self.deadlines.insert(RequestTime { at: *deadline, request: id });
+    }
+
     /// Stores a token that a request has received in the request's session.
     pub(super) fn store_session_token(&mut self, id: RequestId, token: String) {
         let Some(pending) = self.by_id.get_mut(&id) else { return };
--- a/crates/client/src/outcome.rs
+++ b/crates/client/src/outcome.rs
@@ -77,6 +77,12 @@
         }
     }
 
+    /// Returns whether a router may have forwarded the statement to a host. This includes rejections: a router
+    /// of an earlier release also rejects a statement that has run if hosts still drop its repeats.
+    pub(crate) fn may_have_been_forwarded(&self) -> bool {
+        matches!(self, AttemptOutcome::Rejected(_)) || !self.proves_not_run()
+    }
+
     /// Returns whether a router may have read the statement. Only retries of such attempts use the retry
     /// budget.
     pub(crate) fn may_have_reached_router(&self) -> bool {
--- a/crates/client/tests/core/retries.rs
+++ b/crates/client/tests/core/retries.rs
@@ -55,6 +55,37 @@
     }
 }
 
+/// Guards against a repeat of a keyed request after the end of its key's window, whatever the router says of
+/// the attempts before: a rejection, or an answer that leaves open whether the statement has run.
+#[test]
+fn keyed_request_is_repeated_only_within_its_window_also_after_rejections() {
+    for (window_ms, deadline_ms) in [(1200, 3000), (300, 900), (2000, 900), (60, 10_000)] {
+        for (code, detail) in
+            [("53300", Some("100")), ("53300", None), ("57P03", Some("1000")), ("58000", None)]
+        {
+            for seed in 0..20 {
+                let mut harness = Harness::new(Config { seed, ..config(1) });
+                let window = window_ms * MS;
+                let id = harness.submit_write(Idempotency::Keyed(window), deadline_ms);
+                let connection = harness.accept_connection();
+                let first_sent_at = harness.sent[0].sent_at;
+                let mut answered = 0;
+                while harness.outcome(id).is_none() {
+                    if harness.sent.len() > answered {
+                        answered = harness.sent.len();
+                        harness.receive(connection, &error(code, detail));
+                    }
+                    harness.advance(1);
+                }
+                for statement in &harness.sent {
+                    let after = statement.sent_at - first_sent_at;
+                    assert!(after < window, "{code} {detail:?}, {window:?}: repeated after {after:?}");
+                }
+            }
+        }
+    }
+}
+
 /// Numbers of first attempts and of retries.
 #[derive(Debug)]
 struct AttemptCounts {
--- a/crates/policy/src/policy/rejection.rs
+++ b/crates/policy/src/policy/rejection.rs
@@ -1,5 +1,5 @@
 //! The decision whether a request without a response is rejected or failed. A rejection promises the client
-//! that a retry does no harm, so this is the only place that rejects a request after an attempt was sent.
+//! that a retry does no harm at any time, so this is the only place that rejects a request after an attempt was sent.
 
 use super::pending_request::PendingRequest;
 use super::Policy;
@@ -21,15 +21,11 @@
         self.remove_request(id, out);
     }
 
-    /// Returns whether the client may safely retry: the request has not been executed, is idempotent, or has
-    /// an idempotency key whose scope is all members and whose deduplication window will not have ended when
-    /// the client retries after the longest Retry-After.
+    /// Returns whether the client may safely retry, however late: the request has not been executed, or is
+    /// idempotent. An idempotency key is not enough. A rejection doesn't tell when the deduplication window
+    /// ends, and a client that takes the rejection as a proof that nothing has run may retry after that end.
     fn is_retry_harmless(&self, request: &PendingRequest) -> bool {
-        let class = &self.settings.classes[request.class];
-        let Some(first) = request.first_possible_execution() else { return true };
-        let deduplicated = class.effect == Effect::IdempotentByKey && class.key_scope == KeyScope::All;
-        let client_retry_at = self.now.plus(self.settings.max_retry_after);
-        let within_window = client_retry_at < first.sent_at.plus(class.deduplication_window);
-        class.effect == Effect::Idempotent || (deduplicated && within_window)
+        let effect = self.settings.classes[request.class].effect;
+        effect == Effect::Idempotent || request.first_possible_execution().is_none()
     }
 }
--- a/crates/policy/tests/retries.rs
+++ b/crates/policy/tests/retries.rs
@@ -100,25 +100,48 @@
     );
 }
 
+/// Guards against a rejection of a request with a key that may have been executed: its client may retry after
+/// the end of the deduplication window, however long that is and however early the client was rejected.
 #[test]
-fn a_request_with_a_key_is_rejected_only_if_its_client_can_retry_within_the_window() {
-    for (elapsed_ms, rejected) in [(1200, true), (1700, false)] {
-        let mut router = TestRouter::new(with_window(2000));
+fn a_request_with_a_key_that_may_have_been_executed_is_never_rejected() {
+    for scope in [KeyScope::All, KeyScope::Zone, KeyScope::Group] {
+        for (window_ms, elapsed_ms) in [(2000, 1), (2000, 1200), (2000, 1700), (100, 1), (60_000, 10)] {
+            for status in [Status::Error, Status::Reset, Status::Timeout, Status::Discarded] {
+                let mut settings = with_window(window_ms);
+                settings.classes[usize::from(IDEMPOTENT_BY_KEY.0)].key_scope = scope;
+                let mut router = TestRouter::new(settings);
+                let id = router.request_with_timeout(IDEMPOTENT_BY_KEY, 2900);
+                router.advance(elapsed_ms);
+                router.finish_attempt(id, status, elapsed_ms, 0, Role::Primary);
+                // Use up the remaining attempts, each of which proves that it has not been executed.
+                while !(router.is_rejected(id) || router.is_failed(id)) {
+                    match router.is_in_flight(id) {
+                        true => router.finish_attempt(id, Status::Overloaded, 1, 0, Role::Primary),
+                        false => router.advance(10),
+                    }
+                }
+                assert_eq!(
+                    (router.is_rejected(id), router.is_failed(id)),
+                    (false, true),
+                    "{scope:?}, a window of {window_ms} ms, {status:?} after {elapsed_ms} ms"
+                );
+            }
+        }
+    }
+}
+
+#[test]
+fn a_request_with_a_key_that_has_not_been_executed_is_rejected() {
+    for status in [Status::Overloaded, Status::Misdirected, Status::ConnectFailed, Status::NotSent] {
+        let mut router = TestRouter::new(with_window(100));
         let id = router.request_with_timeout(IDEMPOTENT_BY_KEY, 2900);
-        router.advance(elapsed_ms);
-        router.finish_attempt(id, Status::Error, elapsed_ms, 0, Role::Primary);
-        // Use up the remaining attempts.
         while !(router.is_rejected(id) || router.is_failed(id)) {
             match router.is_in_flight(id) {
-                true => router.finish_attempt(id, Status::Error, 1, 0, Role::Primary),
+                true => router.finish_attempt(id, status, 1, 0, Role::Primary),
                 false => router.advance(10),
             }
         }
-        assert_eq!(
-            (router.is_rejected(id), router.is_failed(id)),
-            (rejected, !rejected),
-            "first attempt failed after {elapsed_ms} ms"
-        );
+        assert!(router.is_rejected(id) && !router.is_failed(id), "{status:?}");
     }
 }
 
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -176,9 +176,7 @@
                 request.completed = true;
                 let late = self.now > request.deadline.plus(Time::ms(20));
                 let idempotent = request.class.effect == Effect::Idempotent;
-                let deduplicated = request.class.effect == Effect::IdempotentByKey
-                    && request.class.key_scope == KeyScope::All;
-                if completed || late || (may_have_executed && !idempotent && !deduplicated) {
+                if completed || late || (may_have_executed && !idempotent) {
                     self.add_violation(format!(
                         "rejected {id:?}: already completed {completed}, late {late}, \
                          may have been executed {may_have_executed}"
@@ -307,8 +305,10 @@
         let elapsed = self.now.since(request.attempts[number].sent_at);
         let request_completed = request.completed || status == Status::Ok;
         request.completed = request_completed;
-        let has_response =
-            matches!(status, Status::Ok | Status::Misdirected | Status::Error | Status::Overloaded);
+        let has_response = matches!(
+            status,
+            Status::Ok | Status::Discarded | Status::Misdirected | Status::Error | Status::Overloaded
+        );
         // A log position never decreases, and a misdirected attempt shows that the member is not the primary.
         let lag_ms = if primary { 0 } else { u64::from(lag_ms) };
         let position = Time(self.now.0 - Time::ms(lag_ms).0);
@@ -429,6 +429,7 @@
                     3 => Status::ConnectFailed,
                     4 => Status::Reset,
                     5 => Status::NotSent,
+                    6 => Status::Discarded,
                     _ => Status::Ok,
                 };
                 self.finish_attempt(id, number, status, lag_ms, primary);
--- a/crates/router/tests/routing/attempts.rs
+++ b/crates/router/tests/routing/attempts.rs
@@ -125,12 +125,13 @@
 
 /// The effects that settings can give to a class, and whether a request of the class may be rejected after it
 /// has run.
-const EFFECTS: [(&str, bool); 5] = [
+const EFFECTS: [(&str, bool); 6] = [
     ("\"at_most_once\"", false),
     ("\"idempotent\"", true),
     ("\"deduplicated\", \"keyScope\": \"cell\", \"window\": 60000000000", false),
     ("\"deduplicated\", \"keyScope\": \"zone\", \"window\": 60000000000", false),
     ("\"deduplicated\", \"keyScope\": \"all\", \"window\": 1000000000", false),
+    ("\"deduplicated\", \"keyScope\": \"all\", \"window\": 60000000000", false),
 ];
 
 /// Returns the settings of the stand-ins with this effect for each class.
