The simulator's adapter keeps a write until its last attempt has ended, as the router does

Cause: the adapter had a table of its own for the writes of sessions and removed a write on ClientGone while an attempt was in flight. The outcome then found no session to raise. The program's router keeps a request until its last attempt has ended.

Change: RequestProgress (crates/session) holds a request's attempts and whether it is completed or served; both routers use it.

--- a/crates/client/src/outcome.rs
+++ b/crates/client/src/outcome.rs
@@ -77,8 +77,8 @@
         }
     }
 
-    /// Returns whether a router may have forwarded the statement to a host. This includes rejections: a router
-    /// of an earlier release also rejects a statement that has run if hosts still drop its repeats.
+    /// Returns whether a router may have forwarded the statement to a host. This includes rejections: a
+    /// router of an earlier release also rejects a statement that has run if hosts still drop its repeats.
     pub(crate) fn may_have_been_forwarded(&self) -> bool {
         matches!(self, AttemptOutcome::Rejected(_)) || !self.proves_not_run()
     }
--- a/crates/policy/src/policy/rejection.rs
+++ b/crates/policy/src/policy/rejection.rs
@@ -1,5 +1,6 @@
 //! The decision whether a request without a response is rejected or failed. A rejection promises the client
-//! that a retry does no harm at any time, so this is the only place that rejects a request after an attempt was sent.
+//! that a retry does no harm at any time, so this is the only place that rejects a request after an attempt
+//! was sent.
 
 use super::pending_request::PendingRequest;
 use super::Policy;
--- a/crates/router/src/routing/attempts.rs
+++ b/crates/router/src/routing/attempts.rs
@@ -62,19 +62,19 @@
         let Some(open) = self.requests.get_mut(id) else {
             return self.attempt_not_started(now, id, NO_ATTEMPT, member, Status::NotSent);
         };
-        let number = open.next_attempt();
-        if open.completed || open.attempts.len() >= max_attempts || now >= open.deadline {
-            open.attempts.push(None);
+        let number = open.progress.next_attempt();
+        if open.progress.is_completed() || usize::from(number.0) >= max_attempts || now >= open.deadline {
+            open.progress.add_attempt(None);
             return self.attempt_not_started(now, id, number, member, Status::NotSent);
         }
         let Some(addr) = addr else {
-            open.attempts.push(None);
+            open.progress.add_attempt(None);
             return self.attempt_not_started(now, id, number, member, Status::ConnectFailed);
         };
         let time_left = open.deadline.since(now);
         let deadline = now.plus(timeout.unwrap_or(time_left).min(time_left));
         let timer = self.timers.add(deadline, Timer::Attempt(id, number));
-        open.attempts.push(Some(InFlightExchange { member, sent_at: now, timer }));
+        open.progress.add_attempt(Some(InFlightExchange { member, sent_at: now, timer }));
         let statement = Rc::clone(&open.statement);
         let start = ExchangeStart {
             id: ExchangeId::Attempt(id, number),
@@ -192,7 +192,7 @@
         let replication = reported_replication(&reported);
         self.observe_position(now, exchange.sent_at, replication.position);
         self.record_possible_execution(request, status);
-        let is_completed = self.requests.get(request).is_none_or(|open| open.completed);
+        let is_completed = self.requests.get(request).is_none_or(|open| open.progress.is_completed());
         if is_completed {
             self.complete_request(now, request);
         }
--- a/crates/router/src/routing/exchanges.rs
+++ b/crates/router/src/routing/exchanges.rs
@@ -30,7 +30,9 @@
     /// completed, before the connection to the member is open.
     pub fn may_write(&self, now: Time, exchange: ExchangeId, member: MemberId) -> bool {
         let is_awaited = match exchange {
-            ExchangeId::Attempt(id, _) => self.requests.get(id).is_some_and(|open| !open.completed),
+            ExchangeId::Attempt(id, _) => {
+                self.requests.get(id).is_some_and(|open| !open.progress.is_completed())
+            }
             ExchangeId::Probe(_) => true,
         };
         is_awaited && self.drain_ends_at(member).is_none_or(|end| now < end)
--- a/crates/router/src/routing/fleet.rs
+++ b/crates/router/src/routing/fleet.rs
@@ -120,7 +120,10 @@
 
     /// Reports the policy's decision on a request to the limits that count the request.
     pub(super) fn record_admission(&mut self, id: RequestId, keys: &[LimitKey]) {
-        let admitted = self.requests.get(id).is_some_and(|open| !open.completed || open.served);
+        let admitted = self
+            .requests
+            .get(id)
+            .is_some_and(|open| !open.progress.is_completed() || open.progress.is_served());
         if let Some(limits) = &mut self.fleet_limits {
             limits.record_decision(admitted, keys);
         }
@@ -154,7 +157,7 @@
     /// Records that a request completes without a host's response. If the request has had an attempt and the
     /// retry budget is exhausted, this counts as demand for another retry.
     pub(super) fn record_retry_demand(&mut self, id: RequestId) {
-        let attempted = self.requests.get(id).is_some_and(|open| !open.attempts.is_empty());
+        let attempted = self.requests.get(id).is_some_and(|open| open.progress.next_attempt() > Attempt(0));
         if let Some(limits) = self.fleet_limits.as_mut().filter(|_| attempted) {
             limits.record_retry_demand();
         }
--- a/crates/router/src/routing/request_table.rs
+++ b/crates/router/src/routing/request_table.rs
@@ -6,7 +6,7 @@
 use super::input::{ClientId, CommandId};
 use crate::protocol::statement::Statement;
 use basalthill_policy::api::{Attempt, GroupId, RequestId, Time};
-use basalthill_session::TrackedRequest;
+use basalthill_session::{RequestProgress, TrackedRequest};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
@@ -26,24 +26,8 @@
     pub tracked: Option<TrackedRequest>,
     /// The read floor that is sent to hosts, a Unix time in milliseconds; `None` if no floor is sent.
     pub floor_ms: Option<u64>,
-    /// Whether its client has been sent the reply or has disconnected.
-    pub completed: bool,
-    /// Whether a host has served it.
-    pub served: bool,
-    /// Its attempts by number; `None` for an attempt that has ended.
-    pub attempts: Vec<Option<InFlightExchange>>,
-}
-
-impl OpenRequest {
-    /// Returns the number of the next attempt.
-    pub fn next_attempt(&self) -> Attempt {
-        Attempt(self.attempts.len() as u16)
-    }
-
-    /// Returns whether an attempt is in flight.
-    pub fn has_attempt_in_flight(&self) -> bool {
-        self.attempts.iter().any(Option::is_some)
-    }
+    /// Its attempts, and whether it is completed or served.
+    pub progress: RequestProgress<InFlightExchange>,
 }
 
 /// A command that awaits its reply, or that awaited it until the command was removed from
@@ -135,10 +119,10 @@
     /// Marks a request as completed. Removes and returns it if no attempt is in flight.
     pub fn complete(&mut self, id: RequestId) -> Option<OpenRequest> {
         let open = self.open.get_mut(&id)?;
-        if !std::mem::replace(&mut open.completed, true) {
+        if open.progress.complete() {
             self.completed_memory += open.statement.memory();
         }
-        if open.has_attempt_in_flight() {
+        if !open.progress.has_ended() {
             return None;
         }
         self.completed_memory -= open.statement.memory();
@@ -149,7 +133,7 @@
     /// Removes an attempt, if it is in flight. Its request stays in the table until
     /// [`RequestTable::complete`] is called.
     pub fn take_attempt(&mut self, id: RequestId, attempt: Attempt) -> Option<InFlightExchange> {
-        self.open.get_mut(&id)?.attempts.get_mut(usize::from(attempt.0))?.take()
+        self.open.get_mut(&id)?.progress.end_attempt(attempt)
     }
 
     /// Returns the number of requests that await a reply.
--- a/crates/router/src/routing/requests.rs
+++ b/crates/router/src/routing/requests.rs
@@ -10,6 +10,7 @@
 use crate::protocol::statement::{Statement, StatementError};
 use basalthill_fleet::LimitKey;
 use basalthill_policy::api::{ClassId, Event, GroupId, Request, RequestId, TenantId, Time};
+use basalthill_session::RequestProgress;
 use basalthill_wire::sqlstate::INVALID_PARAMETER_VALUE;
 use std::rc::Rc;
 use thiserror::Error;
@@ -101,9 +102,7 @@
             group,
             tracked,
             floor_ms: floor.send_to_hosts.then(|| ms_rounded_up(floor.position)),
-            completed: false,
-            served: false,
-            attempts: Vec::new(),
+            progress: RequestProgress::default(),
         };
         self.requests.insert(id, open);
         let limits = self.queue_request(now, request);
@@ -153,7 +152,7 @@
 
     /// Sends the reply to a request, unless the request is already completed.
     pub(super) fn reply_to_client(&mut self, now: Time, id: RequestId, reply: Reply, out: &mut Vec<Effect>) {
-        let Some(open) = self.requests.get(id).filter(|open| !open.completed) else { return };
+        let Some(open) = self.requests.get(id).filter(|open| !open.progress.is_completed()) else { return };
         let client = open.client;
         let command = open.command;
         match reply {
--- a/crates/router/src/routing/sessions.rs
+++ b/crates/router/src/routing/sessions.rs
@@ -93,12 +93,12 @@
         out: &mut Vec<Effect>,
     ) {
         let Some(open) = self.requests.get_mut(id) else { return };
-        let served_before = std::mem::replace(&mut open.served, true);
-        let Some(tracked) = open.tracked.as_mut().filter(|_| !served_before) else { return };
+        let is_first = open.progress.record_served();
+        let Some(tracked) = open.tracked.as_mut().filter(|_| is_first) else { return };
         let identity = session_identity(&self.sessions, &open.statement);
         let now = self.system_clock.to_unix_time(now);
         let token = self.sessions.request_served(now, identity, open.group, tracked, position);
-        if open.completed {
+        if open.progress.is_completed() {
             return;
         }
         let client = open.client;
@@ -111,7 +111,7 @@
         if status.proves_not_executed() {
             return;
         }
-        let Some(open) = self.requests.get_mut(id).filter(|open| !open.served) else { return };
+        let Some(open) = self.requests.get_mut(id).filter(|open| !open.progress.is_served()) else { return };
         if let Some(tracked) = &mut open.tracked {
             tracked.outcome_unknown = tracked.is_write;
         }
@@ -121,10 +121,10 @@
     /// still run, the session's floor has to cover both cases, and so does the token that the client gets.
     pub(super) fn record_unknown_outcome(&mut self, now: Time, id: RequestId, out: &mut Vec<Effect>) {
         let Some(open) = self.requests.get_mut(id) else { return };
-        if open.completed || open.served {
+        if open.progress.is_completed() || open.progress.is_served() {
             return;
         }
-        let in_flight = open.has_attempt_in_flight();
+        let in_flight = open.progress.has_attempt_in_flight();
         let may_run = |t: &&mut TrackedRequest| t.is_write && (t.outcome_unknown || in_flight);
         let Some(tracked) = open.tracked.as_mut().filter(may_run) else { return };
         tracked.outcome_unknown = true;
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`Sessions`] is the session state of one router.
 //! - [`GroupFloors`] holds the floors of one session, by group.
 //! - [`token`] encodes and signs these floors, so that clients can carry them between routers.
+//! - [`RequestProgress`] tells how long a request is tracked: until its last attempt has ended.
 //! - [`FloorTable`] stores floors by group and session in bounded memory.
 //! - [`snapshot`] saves that table across a restart.
 
@@ -19,6 +20,7 @@
 mod group_floors;
 mod key;
 mod request;
+mod request_progress;
 mod sessions;
 pub mod snapshot;
 pub mod token;
@@ -28,4 +30,5 @@
 pub use floor_table::{FloorEntry, FloorTable, BUCKET_BYTES};
 pub use group_floors::{GroupFloors, MAX_GROUPS};
 pub use request::{ReadFloor, SessionRequest, TrackedRequest};
+pub use request_progress::RequestProgress;
 pub use sessions::Sessions;
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -2,5 +2,5 @@
 //! to each with the resulting actions.
 
 pub mod adapter;
-mod router;
+pub mod router;
 pub mod wire;
