Requests of a client that has left are not sent on, though its end is behind unread bytes

What callers saw (the operators' records): a client closed its connection with much still unread, and its requests were sent on afterwards; an id ran twice when it came again.

Cause: while a request waits, the rest stands unread in the socket. The socket takes no more, so the client's system holds back what follows, the end of the connection included. The router asked its own system for that end, which could not know. Besides, the check before the write to a host saw only a close with nothing unread, and the next command was forwarded before the last reply was written.

Change: while a command awaits its reply and input is unread, the router writes a ParameterStatus message that repeats a parameter of the startup, every 50 ms at most; clients pass it over, and the system of a client that has closed resets the connection.

--- a/crates/router/src/protocol/client.rs
+++ b/crates/router/src/protocol/client.rs
@@ -471,6 +471,17 @@
     out
 }
 
+/// Encodes a ParameterStatus message that repeats a parameter of the startup reply. Clients accept it at any
+/// time between two messages, and it changes nothing for them.
+pub fn repeated_parameter() -> Vec<u8> {
+    let mut out = Vec::with_capacity(32);
+    put_message(&mut out, b'S', |out| {
+        put_cstring(out, "client_encoding");
+        put_cstring(out, "UTF8");
+    });
+    out
+}
+
 /// The parameter that carries a session token.
 pub const SESSION_TOKEN: &str = "session_token";
 
--- a/crates/router/src/transport/client/mod.rs
+++ b/crates/router/src/transport/client/mod.rs
@@ -21,7 +21,7 @@
 use async_io::Async;
 use basalthill_policy::api::Time;
 use registry::ClientHandle;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::Instant;
@@ -35,6 +35,8 @@
     /// The memory of the client's requests.
     request_memory: MemoryAccount,
     connected_at: Instant,
+    /// When the router last wrote to the client only to see whether it has closed.
+    probed_at: Cell<Option<Instant>>,
     /// The admission permits; `None` once they have been exchanged for a rejection permit.
     permits: RefCell<Option<AdmissionPermits>>,
     conversation: RefCell<Conversation>,
@@ -72,6 +74,7 @@
             handle,
             request_memory,
             connected_at,
+            probed_at: Cell::default(),
             permits: RefCell::new(Some(permits)),
             conversation: RefCell::new(Conversation::new(cancel_key, unread_since)),
             stream,
--- a/crates/router/src/transport/client/registry.rs
+++ b/crates/router/src/transport/client/registry.rs
@@ -351,7 +351,7 @@
     /// Returns whether a client has closed its connection. The connection's task may not have noticed it yet.
     pub fn has_disconnected(&self, client: ClientId) -> bool {
         let stream = self.handles.borrow().get(&client).and_then(|handle| handle.stream.upgrade());
-        stream.is_none_or(|stream| io::at_end(&stream))
+        stream.is_none_or(|stream| io::hung_up(&stream))
     }
 
     /// Makes the router reply to empty queries from now on, and wakes the tasks of all clients, which also
--- a/crates/router/src/transport/client/serve.rs
+++ b/crates/router/src/transport/client/serve.rs
@@ -3,6 +3,7 @@
 
 use super::eviction::ConnectionState;
 use super::{ClientConnection, ConnectionEnd};
+use crate::protocol::client;
 use crate::routing::{ClientRequest, Input};
 use crate::transport::conversation::Step;
 use crate::transport::io;
@@ -10,7 +11,7 @@
 use basalthill_config::router::{CLIENT_EVICTION_IDLE, CLIENT_MESSAGE_TIMEOUT, CLIENT_WRITE_TIMEOUT};
 use futures_lite::future;
 use std::io::{ErrorKind, IoSlice, Write};
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
 use std::time::{Duration, Instant};
 
 /// The interval at which the task checks whether the client has disconnected while it does not read from the
@@ -19,6 +20,9 @@
 /// The number of steps of one conversation that are executed before the task yields to other tasks, as a
 /// client may send commands without a pause.
 const MAX_STEPS_AT_ONCE: usize = 16;
+/// The shortest time between two writes that show whether the client has closed. With the interval of the
+/// checks, it is less than the time for which attempts may begin after the client has closed.
+const PROBE_INTERVAL: Duration = Duration::from_millis(50);
 /// The maximum number of replies in one vectored write.
 const MAX_GATHERED_REPLIES: usize = 16;
 /// The time within which a client has to receive a reply that is being written.
@@ -59,7 +63,10 @@
     pub(super) async fn serve(&self) -> ConnectionEnd {
         let mut write_progress = WriteProgress::default();
         loop {
-            let more_steps = self.run_steps();
+            let more_steps = match self.run_steps(&mut write_progress) {
+                Ok(more_steps) => more_steps,
+                Err(end) => return end,
+            };
             self.publish_state();
             let mut wake_up = WakeUp::default();
             match self.check(&mut write_progress, &mut wake_up) {
@@ -78,21 +85,23 @@
         }
     }
 
-    /// Executes up to [`MAX_STEPS_AT_ONCE`] steps of the conversation. Returns whether more may be ready.
-    fn run_steps(&self) -> bool {
-        let mut conversation = self.conversation.borrow_mut();
+    /// Executes up to [`MAX_STEPS_AT_ONCE`] steps of the conversation. Returns whether more may be ready. Fails
+    /// if the client has disconnected: none of its requests is forwarded then, whether read or unread.
+    fn run_steps(&self, write_progress: &mut WriteProgress) -> Result<bool, ConnectionEnd> {
         for _ in 0..MAX_STEPS_AT_ONCE {
+            self.take_replies();
+            // A write also shows whether the client has closed, see `probe_hidden_end`.
+            self.write_now(write_progress)?;
+            let mut conversation = self.conversation.borrow_mut();
             conversation.allow_concurrent_reads(self.driver.has_spare_resources());
-            if let Some(token) = self.handle.session_token.take() {
-                conversation.push_session_token(&token);
-            }
-            for completed in self.handle.take_replies() {
-                conversation.complete_command(completed.command, completed.reply);
-            }
             match conversation.next_step(self.driver.clients.is_ready()) {
-                None => return false,
+                None => return Ok(false),
                 Some(Step::Handled) => {}
                 Some(Step::Forward { command, statement, arrived_at }) => {
+                    drop(conversation);
+                    if self.has_hung_up() {
+                        return Err(ConnectionEnd::Disconnected);
+                    }
                     let request = ClientRequest { client: self.id, command, statement, arrived_at };
                     self.driver.handle(Input::Request(request));
                 }
@@ -103,7 +112,49 @@
                 }
             }
         }
-        true
+        Ok(true)
+    }
+
+    /// Passes the session token and the replies that are queued for the client to the conversation.
+    fn take_replies(&self) {
+        let mut conversation = self.conversation.borrow_mut();
+        if let Some(token) = self.handle.session_token.take() {
+            conversation.push_session_token(&token);
+        }
+        for completed in self.handle.take_replies() {
+            conversation.complete_command(completed.command, completed.reply);
+        }
+    }
+
+    /// Returns whether the client has closed the connection, even if input is unread.
+    fn has_hung_up(&self) -> bool {
+        self.probe_hidden_end();
+        io::hung_up(&self.stream)
+    }
+
+    /// While the socket holds unread input, the client's system may hold back more of it, and the end of the
+    /// connection behind that. The router then can't see that the client has closed, but a write makes
+    /// the client's system reset the connection. So this writes a message that clients ignore, at most once
+    /// in [`PROBE_INTERVAL`], while a command awaits its reply and no other output is being written.
+    fn probe_hidden_end(&self) {
+        let is_due = self.probed_at.get().is_none_or(|at| at.elapsed() >= PROBE_INTERVAL);
+        if !is_due || io::unread_len(&self.stream) == 0 {
+            return;
+        }
+        let conversation = self.conversation.borrow();
+        if conversation.has_output() || conversation.has_replied_to_all() {
+            return;
+        }
+        self.probed_at.set(Some(Instant::now()));
+        // A part of a message would have to be completed before the next one. The socket's send buffer is
+        // empty, or the client has not read the earlier probes, so a part is written only to a client that
+        // does not read.
+        let message = client::repeated_parameter();
+        let written = io::uninterrupted(|| self.stream.get_ref().write(&message));
+        if written.is_ok_and(|len| len < message.len()) {
+            io::reset_on_close(&self.stream);
+            let _ = self.stream.get_ref().shutdown(Shutdown::Both);
+        }
     }
 
     /// Updates the connection's state in its handle for the other tasks.
@@ -314,26 +365,51 @@
 
     /// Checks every [`HANGUP_CHECK_INTERVAL`] whether the client has disconnected, until it has.
     async fn disconnected(&self) -> Result<usize, ConnectionEnd> {
-        while !io::hung_up(&self.stream) {
+        while !self.has_hung_up() {
             Timer::after(HANGUP_CHECK_INTERVAL).await;
         }
         Err(ConnectionEnd::Disconnected)
     }
 
-    /// Writes as much output as the socket accepts. Returns whether this completes a reply or session token.
+    /// Writes as much output as the socket accepts now. Fails if the client has disconnected.
+    fn write_now(&self, write_progress: &mut WriteProgress) -> Result<(), ConnectionEnd> {
+        if !self.conversation.borrow().has_output() {
+            return Ok(());
+        }
+        match io::uninterrupted(|| self.write_to(self.stream.get_ref())) {
+            Ok(len) => {
+                if self.mark_written(len) {
+                    write_progress.blocked_since = None;
+                }
+                Ok(())
+            }
+            Err(e) if e.kind() == ErrorKind::WouldBlock || io::is_transient(&e) => Ok(()),
+            Err(_) => Err(ConnectionEnd::Disconnected),
+        }
+    }
+
+    /// Writes as much output as the socket accepts, once it accepts any. Returns whether this completes a
+    /// reply or session token.
     async fn write_output(&self) -> std::io::Result<bool> {
-        let call = |mut s: &TcpStream| {
-            let conversation = self.conversation.borrow();
-            let mut slices = [IoSlice::new(&[]); MAX_GATHERED_REPLIES];
-            let count = conversation.fill_output(&mut slices);
-            s.write_vectored(&slices[..count])
-        };
-        match io::write_with(&self.stream, call).await? {
+        let len = io::write_with(&self.stream, |stream| self.write_to(stream)).await?;
+        Ok(self.mark_written(len))
+    }
+
+    /// Writes the next output to `stream`. Returns the number of bytes that were written.
+    fn write_to(&self, mut stream: &TcpStream) -> std::io::Result<usize> {
+        let conversation = self.conversation.borrow();
+        let mut slices = [IoSlice::new(&[]); MAX_GATHERED_REPLIES];
+        let count = conversation.fill_output(&mut slices);
+        match stream.write_vectored(&slices[..count])? {
             0 => Err(ErrorKind::WriteZero.into()),
-            len => {
-                self.handle.output_stalled_since.set(Some(Instant::now()));
-                Ok(self.conversation.borrow_mut().mark_written(len))
-            }
+            len => Ok(len),
         }
     }
+
+    /// Records that `len` bytes of output have been written. Returns whether this completes a reply or
+    /// session token.
+    fn mark_written(&self, len: usize) -> bool {
+        self.handle.output_stalled_since.set(Some(Instant::now()));
+        self.conversation.borrow_mut().mark_written(len)
+    }
 }
--- a/crates/router/src/transport/io.rs
+++ b/crates/router/src/transport/io.rs
@@ -119,14 +119,6 @@
     }
 }
 
-/// Returns whether the remote side has closed the connection and everything that it sent has been read.
-pub fn at_end(stream: &Async<TcpStream>) -> bool {
-    match uninterrupted(|| stream.get_ref().peek(&mut [0])) {
-        Ok(len) => len == 0,
-        Err(e) => e.kind() != ErrorKind::WouldBlock && !is_transient(&e),
-    }
-}
-
 /// Returns whether the remote side has closed the connection, even if bytes that it sent are still unread.
 pub fn hung_up(stream: &Async<TcpStream>) -> bool {
     let closed_flags = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
