--- a/crates/router/src/transport/client/serve.rs
+++ b/crates/router/src/transport/client/serve.rs
@@ -85,8 +85,8 @@
         }
     }
 
-    /// Executes up to [`MAX_STEPS_AT_ONCE`] steps of the conversation. Returns whether more may be ready. Fails
-    /// if the client has disconnected: none of its requests is forwarded then, whether read or unread.
+    /// Executes up to [`MAX_STEPS_AT_ONCE`] steps of the conversation. Returns whether more may be ready.
+    /// Fails if the client has disconnected: none of its requests is forwarded then, whether read or unread.
     fn run_steps(&self, write_progress: &mut WriteProgress) -> Result<bool, ConnectionEnd> {
         for _ in 0..MAX_STEPS_AT_ONCE {
             self.take_replies();
--- a/crates/router/tests/departed_clients.rs
+++ b/crates/router/tests/departed_clients.rs
@@ -70,8 +70,8 @@
     Instant::now()
 }
 
-/// Guards against a router that forwards the requests of a client that has left, which it finds in its buffers
-/// or in the socket before it finds the end of the connection.
+/// Guards against a router that forwards the requests of a client that has left, which it finds in its
+/// buffers or in the socket before it finds the end of the connection.
 #[test]
 fn unread_requests_of_a_client_that_closed_are_not_sent() {
     let pipeline = |class, count, value_len, awaited| Pipeline { class, count, value_len, awaited };
