Clients that have stopped in a message are evicted before clients that pause

Cause: idle connections were evicted before those in the middle of a message, however long these had sent nothing, and the choice did not look at the socket.

Change: a client that has sent nothing of its message for 0.5 s is the first to go. A connection with unread input is passed over.

Measured: stopped_clients_are_evicted_before_clients_that_pause failed before ("the connection of client 0 was closed") and passes; so do the tests of transport and client_edge_cases.

--- a/crates/router/src/transport/client/eviction.rs
+++ b/crates/router/src/transport/client/eviction.rs
@@ -7,6 +7,9 @@
 
 /// The time for which a client with an incomplete message is not evicted, from the message's first byte.
 const MESSAGE_PROTECTION: Duration = Duration::from_nanos(CLIENT_MESSAGE_TIMEOUT.0 / 2);
+/// The time for which a client with an incomplete message is not evicted, from the last byte that it has sent,
+/// before clients without one.
+const STOP_PROTECTION: Duration = Duration::from_millis(500);
 /// The time for which a client is not evicted after it has connected or received its last reply.
 const IDLE_PROTECTION: Duration = Duration::from_nanos(CLIENT_EVICTION_IDLE.0);
 
@@ -37,14 +40,39 @@
     Idle(Duration),
     /// It has had no valid request yet, or the router has been closing it, for this long.
     Unused(Duration),
+    /// It has stopped in the middle of a message: it has sent nothing for this long, and is no longer
+    /// protected.
+    Stopped(Duration),
+}
+
+/// An incomplete message of a client.
+#[derive(Clone, Copy, Debug)]
+pub struct PartialMessage {
+    /// When its first byte was received.
+    pub started: Instant,
+    /// When the last of its bytes were received.
+    pub received_at: Instant,
+}
+
+impl PartialMessage {
+    /// Returns the priority of a connection for eviction that is otherwise idle.
+    fn eviction_priority(self) -> EvictionPriority {
+        let (age, pause) = (self.started.elapsed(), self.received_at.elapsed());
+        if pause >= STOP_PROTECTION {
+            EvictionPriority::Stopped(pause)
+        } else if age >= MESSAGE_PROTECTION {
+            EvictionPriority::MidMessage(age)
+        } else {
+            EvictionPriority::NotYet
+        }
+    }
 }
 
 impl EvictionPriority {
-    /// Returns the priority of a connection in this state, where `message_started` is the arrival time of the
-    /// first byte of an incomplete message, if there is one.
+    /// Returns the priority of a connection in this state, which may have received a part of a message.
     pub fn of(
         state: ConnectionState,
-        message_started: Option<Instant>,
+        partial_message: Option<PartialMessage>,
         eviction_requested: bool,
     ) -> EvictionPriority {
         let since = match state {
@@ -57,10 +85,7 @@
         if eviction_requested || since.elapsed() < IDLE_PROTECTION {
             return EvictionPriority::NotYet;
         }
-        let mid_message = message_started.map(|started| match started.elapsed() {
-            age if age < MESSAGE_PROTECTION => EvictionPriority::NotYet,
-            age => EvictionPriority::MidMessage(age),
-        });
+        let mid_message = partial_message.map(PartialMessage::eviction_priority);
         match state {
             ConnectionState::Busy => EvictionPriority::Never,
             ConnectionState::Idle(since) => mid_message.unwrap_or(EvictionPriority::Idle(since.elapsed())),
--- a/crates/router/src/transport/client/registry.rs
+++ b/crates/router/src/transport/client/registry.rs
@@ -1,7 +1,7 @@
 //! The registry of client connections: the replies that routing has queued for each connection's task, and
 //! the state of each connection as other tasks see it.
 
-use super::eviction::{ConnectionState, EvictionPriority};
+use super::eviction::{ConnectionState, EvictionPriority, PartialMessage};
 use super::memory_counts::MemoryCounters;
 use crate::protocol::client::CancelKey;
 use crate::routing::{ClientId, CommandId, Reply};
@@ -12,7 +12,7 @@
 use basalthill_config::router::{RouterConfig, RESERVED_SOCKETS};
 use event_listener::Event;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BinaryHeap};
 use std::future::poll_fn;
 use std::hash::{BuildHasher, RandomState};
 use std::net::TcpStream;
@@ -85,6 +85,8 @@
     pub(super) state: Cell<ConnectionState>,
     /// When the first byte of the incomplete message was received, if there is one.
     pub(super) message_started: Cell<Option<Instant>>,
+    /// When input was last received.
+    input_received_at: Cell<Instant>,
     /// Whether the connection has to be closed to free its descriptor.
     eviction_requested: Cell<bool>,
     /// The connection's socket; it is dropped with the connection's task.
@@ -113,6 +115,7 @@
             waker: RefCell::default(),
             state: Cell::new(ConnectionState::Unused(Instant::now())),
             message_started: Cell::default(),
+            input_received_at: Cell::new(Instant::now()),
             eviction_requested: Cell::new(false),
             stream: Rc::downgrade(stream),
             cancel_key,
@@ -146,8 +149,10 @@
 
     /// Records that input has been received.
     pub(super) fn record_input(&self) {
+        let now = Instant::now();
+        self.input_received_at.set(now);
         if let Some(message) = self.large_message.get() {
-            self.large_message.set(Some(LargeMessage { received_at: Instant::now(), ..message }));
+            self.large_message.set(Some(LargeMessage { received_at: now, ..message }));
         }
     }
 
@@ -192,7 +197,17 @@
 
     /// Returns the connection's priority for eviction.
     pub(super) fn eviction_priority(&self) -> EvictionPriority {
-        EvictionPriority::of(self.state.get(), self.message_started.get(), self.eviction_requested.get())
+        let partial_message = self.message_started.get().map(|started| PartialMessage {
+            started,
+            received_at: started.max(self.input_received_at.get()),
+        });
+        EvictionPriority::of(self.state.get(), partial_message, self.eviction_requested.get())
+    }
+
+    /// Returns whether the client has sent input that the router has not read and would still handle.
+    fn has_unread_input(&self) -> bool {
+        let is_served = !matches!(self.state.get(), ConnectionState::Draining(_));
+        is_served && self.stream.upgrade().is_some_and(|stream| io::unread_len(&stream) > 0)
     }
 
     /// Wakes the connection's task.
@@ -273,11 +288,20 @@
         self.handles.borrow().get(&client).cloned()
     }
 
-    /// Returns the client connection with the highest priority for eviction, and that priority.
+    /// Returns the client connection with the highest priority for eviction, and that priority. A connection
+    /// whose socket has unread input is passed over: its client has sent the next request.
     pub(super) fn eviction_candidate(&self) -> Option<(EvictionPriority, Rc<ClientHandle>)> {
         let handles = self.handles.borrow();
-        let candidates = handles.values().map(|handle| (handle.eviction_priority(), Rc::clone(handle)));
-        candidates.max_by_key(|(priority, _)| *priority)
+        let priorities = handles.iter().map(|(client, handle)| (handle.eviction_priority(), *client));
+        let mut candidates: BinaryHeap<(EvictionPriority, ClientId)> = priorities.collect();
+        while let Some((priority, client)) = candidates.pop() {
+            let handle = handles.get(&client)?;
+            if priority <= EvictionPriority::NotYet || !handle.has_unread_input() {
+                return Some((priority, Rc::clone(handle)));
+            }
+        }
+        // The connections whose input is unread have a reply soon.
+        handles.values().next().map(|handle| (EvictionPriority::NotYet, Rc::clone(handle)))
     }
 
     /// Registers a client.
