A read is checked for freshness and role once more, just before it is written

Cause: the policy compares the known position with the time of its decision. The exchange then waits for a connection, and before the write only the drain and the request were checked again.

Change: Policy::may_still_send checks position and role at the time of the write. An attempt that fails it ends as not sent, and the request is placed again.

The test of routing failed before ("!may_write(&harness, 3100)").

--- a/crates/policy/src/policy/eligibility.rs
+++ b/crates/policy/src/policy/eligibility.rs
@@ -19,10 +19,20 @@
             && self.may_add_attempt(request)
             && !self.has_drained(member)
             && self.may_repeat_at(request, member)
-            && self.has_required_position(request, id, member)
+            && self.has_required_position(self.now, request, id, member)
             && self.warm_up_allows(request, id, member)
     }
 
+    /// Returns whether an attempt that was decided earlier may be sent at `now`, after a wait for a connection:
+    /// whether the member's known position and role still allow it. A bounded read's data ages meanwhile, and
+    /// a strong read's member may no longer be the primary.
+    pub fn may_still_send(&self, now: Time, id: RequestId, target: MemberId) -> bool {
+        let (Some(request), Some(member)) = (self.requests.get(&id), self.members.get(target)) else {
+            return false;
+        };
+        self.has_required_position(now, request, target, member)
+    }
+
     /// Returns whether the request has used up its attempts, or the retry budget is spent.
     pub(super) fn is_exhausted(&self, request: &PendingRequest) -> bool {
         let attempts = request.attempts.len();
@@ -67,11 +77,17 @@
         class.effect == Effect::IdempotentByKey && left.secs() > self.service_times.get(request.class)
     }
 
-    /// Returns whether the member is known to be fresh enough. Always true if members check the freshness of
-    /// reads themselves.
-    fn has_required_position(&self, request: &PendingRequest, id: MemberId, member: &Member) -> bool {
+    /// Returns whether the member is known to be fresh enough at `now`. Always true if members check the
+    /// freshness of reads themselves.
+    fn has_required_position(
+        &self,
+        now: Time,
+        request: &PendingRequest,
+        id: MemberId,
+        member: &Member,
+    ) -> bool {
         self.settings.when_behind != WhenBehind::ServeStale
-            || self.is_fresh_enough(request, id, member, PositionBasis::Known)
+            || self.is_fresh_enough(now, request, id, member, PositionBasis::Known)
     }
 
     /// Returns whether slow start allows the attempt at the member: the member has warmed up, it has credit
@@ -87,9 +103,11 @@
         request_draw(request.request.id) < fraction && !already_attempted
     }
 
-    /// Returns whether the member is fresh enough for the request's class. The last known primary always is.
+    /// Returns whether the member is fresh enough at `now` for the request's class. The last known primary
+    /// always is.
     pub(super) fn is_fresh_enough(
         &self,
+        now: Time,
         request: &PendingRequest,
         id: MemberId,
         member: &Member,
@@ -120,7 +138,7 @@
                 request.min_position == Time(0) || position.is_some_and(|position| position >= needed)
             }
             Consistency::BoundedStaleness(bound) => {
-                position.is_some_and(|position| self.now.since(position) <= bound)
+                position.is_some_and(|position| now.since(position) <= bound)
             }
         }
     }
--- a/crates/policy/src/policy/selection.rs
+++ b/crates/policy/src/policy/selection.rs
@@ -100,7 +100,7 @@
             if Some(id) == primary || !self.breaker_admits(request, member) {
                 continue;
             }
-            let fresh = self.is_fresh_enough(request, id, member, basis);
+            let fresh = self.is_fresh_enough(self.now, request, id, member, basis);
             scan.any_fresh |= fresh;
             scan.any_catching_up |= self.is_catching_up(request, member);
             let is_candidate = fresh && self.has_capacity_for_read(request, id, member);
--- a/crates/policy/tests/freshness.rs
+++ b/crates/policy/tests/freshness.rs
@@ -131,3 +131,42 @@
         "the read is retried at another member at once"
     );
 }
+
+/// Returns settings in which members serve reads whatever their positions.
+fn members_check_nothing() -> Settings {
+    Settings { when_behind: WhenBehind::ServeStale, ..test_settings() }
+}
+
+/// Guards against a bounded read that is sent after its data has become too old, while the attempt waited for
+/// its connection.
+#[test]
+fn a_bounded_read_may_not_be_sent_once_the_position_is_older_than_its_bound() {
+    for lag_ms in [10, 500, 1900] {
+        let mut router = TestRouter::new(members_check_nothing());
+        router.replicas_respond_with_lag([lag_ms, lag_ms]);
+        let id = router.request(BOUNDED, 0);
+        let target = router.last_target(id).expect("the read is not sent");
+        assert!(target != 1, "lag {lag_ms} ms: the read goes to the primary");
+        let may_send_after =
+            |ms: u64| router.policy.may_still_send(router.now.plus(Time::ms(ms)), id, MemberId(target));
+        // The bound of the class is two seconds.
+        assert!(may_send_after(0) && may_send_after(2000 - lag_ms), "lag {lag_ms} ms");
+        assert!(!may_send_after(2001 - lag_ms) && !may_send_after(5000), "lag {lag_ms} ms");
+    }
+}
+
+/// Guards against a strong read that is sent to a member that has turned out to be a replica, while the
+/// attempt waited for its connection.
+#[test]
+fn a_strong_read_may_not_be_sent_to_a_member_that_is_no_longer_the_primary() {
+    let mut router = TestRouter::new(members_check_nothing());
+    let id = router.request(STRONG, 0);
+    assert_eq!(router.last_target(id), Some(1));
+    assert!(router.policy.may_still_send(router.now, id, MemberId(1)));
+    router.advance(10);
+    let position = router.now;
+    router.respond(1, Status::Misdirected, position, Role::Replica);
+    router.respond(2, Status::Ok, position, Role::Primary);
+    assert!(!router.policy.may_still_send(router.now, id, MemberId(1)));
+    assert!(router.policy.may_still_send(router.now, id, MemberId(2)));
+}
--- a/crates/router/src/routing/exchanges.rs
+++ b/crates/router/src/routing/exchanges.rs
@@ -26,16 +26,18 @@
 
 impl Router {
     /// Returns whether the query of an exchange may still be written. The policy observes a member's drain
-    /// grace period when it starts an exchange, but the grace period may end, or the request may be
-    /// completed, before the connection to the member is open.
+    /// grace period, log position and role when it starts an exchange, but the grace period may end, the
+    /// position may become too old, or the request may be completed, before the connection to the member is
+    /// open.
     pub fn may_write(&self, now: Time, exchange: ExchangeId, member: MemberId) -> bool {
-        let is_awaited = match exchange {
+        let is_allowed = match exchange {
             ExchangeId::Attempt(id, _) => {
-                self.requests.get(id).is_some_and(|open| !open.progress.is_completed())
+                let is_awaited = self.requests.get(id).is_some_and(|open| !open.progress.is_completed());
+                is_awaited && self.policy.may_still_send(now, id, member)
             }
             ExchangeId::Probe(_) => true,
         };
-        is_awaited && self.drain_ends_at(member).is_none_or(|end| now < end)
+        is_allowed && self.drain_ends_at(member).is_none_or(|end| now < end)
     }
 
     /// Returns when a draining member's grace period ends; `None` if the member is not draining.
--- a/crates/router/tests/routing/attempts.rs
+++ b/crates/router/tests/routing/attempts.rs
@@ -3,7 +3,7 @@
 use crate::common::SETTINGS;
 use crate::harness::*;
 use basalthill_config::settings::{read, Deployment};
-use basalthill_policy::api::Status;
+use basalthill_policy::api::{MemberId, Status, Time};
 use basalthill_router::protocol::host::{QueryOutcome, ReportedState};
 use basalthill_router::routing::{ClientId, ExchangeResult, Input, Reply};
 
@@ -166,3 +166,19 @@
         }
     }
 }
+
+/// Guards against a read that is written to a replica whose data has become too old while the exchange waited
+/// for its connection.
+#[test]
+fn bounded_read_is_not_written_after_its_data_became_too_old() {
+    let settings = SETTINGS.replace("\"await\"", "\"none\"");
+    let mut harness = RouterHarness::ready_with(read(settings.as_bytes()).expect("invalid settings"));
+    let exchange = harness.start_attempt(1, "view");
+    assert!(exchange.goes_to(REPLICA), "{exchange:?}");
+    let may_write = |harness: &RouterHarness, ms: u64| {
+        harness.router.may_write(harness.now.plus(Time::ms(ms)), exchange.id, MemberId(1))
+    };
+    // The bound of the class is three seconds.
+    assert!(may_write(&harness, 0) && may_write(&harness, 2900));
+    assert!(!may_write(&harness, 3100));
+}
