Fleet: borrowed units whose slots are occupied are not returned to their lender

Cause, by a trace of that input: with each report a borrower retains only the smaller of its demand and the coordinator's last grant of its current loan. Where its slots used more, it gave up units in use; the lender used them while the slots ran on.

Change: Borrowing::units_in_use compares the loan with the ledger at each time until the loan's end, and these units are retained, also in returns to former coordinators.

--- a/crates/fleet/src/account/loans.rs
+++ b/crates/fleet/src/account/loans.rs
@@ -49,9 +49,10 @@
         let surplus = self.offer_surplus(now, coordinator, own_units.saturating_sub(demand));
         let number_base = self.config.loan_number_base;
         let loan = self.borrowed.entry(coordinator).or_insert_with(|| Borrowing::numbered_from(number_base));
-        // Units that the coordinator no longer grants are returned at once; otherwise they would stay lent
-        // until the end of their span.
-        let request = loan.request(now, missing.min(loan.last_granted()), &mut self.ledger);
+        // Units that the coordinator no longer grants are returned at once, except for those in use; otherwise
+        // they would stay lent until the end of their span.
+        let retained = missing.min(loan.last_granted()).max(loan.units_in_use(now, &self.ledger));
+        let request = loan.request(now, retained, &mut self.ledger);
         Some(QuotaReport { key: self.config.key, request, demand: missing, surplus })
     }
 
@@ -109,7 +110,7 @@
         let mut returns = Vec::new();
         for (lender, loan) in self.borrowed.iter_mut().filter(|(lender, _)| **lender != coordinator) {
             let borrowed = loan.units_at(now);
-            let returned = borrowed.min(surplus);
+            let returned = borrowed.saturating_sub(loan.units_in_use(now, &self.ledger)).min(surplus);
             if returned > 0 {
                 surplus -= returned;
                 let request = loan.request(now, borrowed - returned, &mut self.ledger);
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -51,6 +51,11 @@
         self.add_expiry(until.0.div_ceil(TICK_NS), units as i64);
     }
 
+    /// Returns the tick at which units that are credited until `until` expire.
+    pub fn last_tick_before(until: Time) -> Time {
+        Time(until.0 / TICK_NS * TICK_NS)
+    }
+
     /// Returns the smallest number of units at any time from `from` until just before `until`. Entries that
     /// expire after `from` must not have been discarded: `from` must not be before the time of the last
     /// [`Ledger::discard_expired`].
--- a/crates/fleet/src/loan.rs
+++ b/crates/fleet/src/loan.rs
@@ -171,6 +171,21 @@
         }
     }
 
+    /// Returns how many units of the loan can't be returned, because the ledger has fewer units left at some
+    /// time until the loan's end: slots are occupied, or units are lent, until then.
+    pub fn units_in_use(&self, now: Time, ledger: &Ledger) -> u64 {
+        let mut from = now;
+        let mut in_use = 0;
+        for step in self.schedule.steps.iter().filter(|step| step.ends_at > now) {
+            // The ledger counts borrowed units up to the last tick before their end.
+            let until = Ledger::last_tick_before(step.ends_at).max(from);
+            let unused = ledger.minimum(from, until).max(0) as u64;
+            in_use = step.units.saturating_sub(unused).max(in_use);
+            from = until;
+        }
+        in_use
+    }
+
     /// Returns the units of the latest grant.
     pub fn last_granted(&self) -> u64 {
         self.last_granted
--- a/crates/fleet/src/loan/tests.rs
+++ b/crates/fleet/src/loan/tests.rs
@@ -43,3 +43,27 @@
     assert_eq!(borrowed.units_at(Time::ms(1300)), 0);
     assert_eq!(ledger.minimum(Time::ms(1300), Time::ms(1301)), 0);
 }
+
+/// Guards against a borrower that returns units whose slots are occupied: the lender would use them as well.
+#[test]
+fn units_in_use_are_those_that_the_ledger_has_not_left() {
+    let now = Time::ms(1000);
+    let mut ledger = Ledger::default();
+    let mut loan = Borrowing::default();
+    let request = loan.request(now, 0, &mut ledger);
+    loan.receive_grant(request.number, 5, Time::ms(2000), &mut ledger);
+    assert_eq!(loan.units_in_use(now, &ledger), 0, "no slot is occupied");
+    ledger.debit(1, Time::ms(1500));
+    ledger.debit(1, Time::ms(1500));
+    ledger.debit(1, Time::ms(2400));
+    assert_eq!(loan.units_in_use(now, &ledger), 3);
+    assert_eq!(loan.units_in_use(Time::ms(1600), &ledger), 1, "two slots have been released");
+    // The units that are retained are raised for a further second, while one more slot is occupied.
+    let request = loan.request(Time::ms(1600), 1, &mut ledger);
+    assert_eq!(request.retained, 1);
+    loan.receive_grant(request.number, 2, Time::ms(2000), &mut ledger);
+    ledger.debit(1, Time::ms(3400));
+    assert_eq!(loan.units_in_use(Time::ms(1600), &ledger), 2);
+    assert_eq!(loan.units_in_use(Time::ms(2500), &ledger), 1);
+    assert_eq!(loan.units_in_use(Time::ms(3700), &ledger), 0, "the loan has ended");
+}
