--- a/crates/fleet/src/account/loans.rs
+++ b/crates/fleet/src/account/loans.rs
@@ -49,8 +49,8 @@
         let surplus = self.offer_surplus(now, coordinator, own_units.saturating_sub(demand));
         let number_base = self.config.loan_number_base;
         let loan = self.borrowed.entry(coordinator).or_insert_with(|| Borrowing::numbered_from(number_base));
-        // Units that the coordinator no longer grants are returned at once, except for those in use; otherwise
-        // they would stay lent until the end of their span.
+        // Units that the coordinator no longer grants are returned at once, except for those in use.
+        // Otherwise they would stay lent until the end of their span.
         let retained = missing.min(loan.last_granted()).max(loan.units_in_use(now, &self.ledger));
         let request = loan.request(now, retained, &mut self.ledger);
         Some(QuotaReport { key: self.config.key, request, demand: missing, surplus })
--- a/crates/policy/src/policy/eligibility.rs
+++ b/crates/policy/src/policy/eligibility.rs
@@ -23,9 +23,9 @@
             && self.warm_up_allows(request, id, member)
     }
 
-    /// Returns whether an attempt that was decided earlier may be sent at `now`, after a wait for a connection:
-    /// whether the member's known position and role still allow it. A bounded read's data ages meanwhile, and
-    /// a strong read's member may no longer be the primary.
+    /// Returns whether an attempt that was decided earlier may be sent at `now`, after a wait for a
+    /// connection: whether the member's known position and role still allow it. A bounded read's data ages
+    /// meanwhile, and a strong read's member may no longer be the primary.
     pub fn may_still_send(&self, now: Time, id: RequestId, target: MemberId) -> bool {
         let (Some(request), Some(member)) = (self.requests.get(&id), self.members.get(target)) else {
             return false;
--- a/crates/router/src/transport/client/admission.rs
+++ b/crates/router/src/transport/client/admission.rs
@@ -64,8 +64,9 @@
 impl ClientRegistry {
     /// Acquires the permits for a client, in up to `attempts` attempts, out of the descriptors that clients
     /// may use. If there are at least `eviction_threshold` clients, evicts one that has stopped in the middle
-    /// of a message, or else an unused connection, or else the one that has been idle the longest. If no permit is available, may also evict a connection with an
-    /// incomplete message, and waits between attempts for connections that are still protected from eviction.
+    /// of a message, or else an unused connection, or else the one that has been idle the longest. If no
+    /// permit is available, may also evict a connection with an incomplete message, and waits between
+    /// attempts for connections that are still protected from eviction.
     async fn acquire_permits(&self, driver: &Driver, attempts: u32) -> Option<AdmissionPermits> {
         if self.len() >= self.eviction_threshold {
             self.evict(EvictionPriority::MidMessage(Duration::MAX)).await;
--- a/crates/router/src/transport/client/eviction.rs
+++ b/crates/router/src/transport/client/eviction.rs
@@ -7,8 +7,8 @@
 
 /// The time for which a client with an incomplete message is not evicted, from the message's first byte.
 const MESSAGE_PROTECTION: Duration = Duration::from_nanos(CLIENT_MESSAGE_TIMEOUT.0 / 2);
-/// The time for which a client with an incomplete message is not evicted, from the last byte that it has sent,
-/// before clients without one.
+/// The time for which a client with an incomplete message is not evicted before clients without one, from the
+/// last byte that it has sent.
 const STOP_PROTECTION: Duration = Duration::from_millis(500);
 /// The time for which a client is not evicted after it has connected or received its last reply.
 const IDLE_PROTECTION: Duration = Duration::from_nanos(CLIENT_EVICTION_IDLE.0);
