Output is written at once only before a command is forwarded

The check whether a client has left wrote each reply by itself, also those to commands that are not forwarded, which one call wrote together before. Now it writes only before it forwards a command, which is where the check needs it.

--- a/crates/router/src/transport/client/serve.rs
+++ b/crates/router/src/transport/client/serve.rs
@@ -90,8 +90,6 @@
     fn run_steps(&self, write_progress: &mut WriteProgress) -> Result<bool, ConnectionEnd> {
         for _ in 0..MAX_STEPS_AT_ONCE {
             self.take_replies();
-            // A write also shows whether the client has closed, see `probe_hidden_end`.
-            self.write_now(write_progress)?;
             let mut conversation = self.conversation.borrow_mut();
             conversation.allow_concurrent_reads(self.driver.has_spare_resources());
             match conversation.next_step(self.driver.clients.is_ready()) {
@@ -99,6 +97,8 @@
                 Some(Step::Handled) => {}
                 Some(Step::Forward { command, statement, arrived_at }) => {
                     drop(conversation);
+                    // A write also shows whether the client has closed, see `probe_hidden_end`.
+                    self.write_now(write_progress)?;
                     if self.has_hung_up() {
                         return Err(ConnectionEnd::Disconnected);
                     }
